--- /dev/null
+++ b/cli/src/main/java/io/heatherloft/cli/CommandFailure.java
@@ -0,0 +1,19 @@
+package io.heatherloft.cli;
+
+/** A command that cannot be carried out; carries the exit code and what to tell the operator. */
+public final class CommandFailure extends RuntimeException {
+    private static final long serialVersionUID = 1L;
+
+    private final ExitCode exitCode;
+
+    /** Creates a failure. */
+    public CommandFailure(ExitCode exitCode, String message) {
+        super(message);
+        this.exitCode = exitCode;
+    }
+
+    /** Returns the exit code. */
+    public ExitCode exitCode() {
+        return exitCode;
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/io/heatherloft/cli/CommandLine.java
@@ -0,0 +1,133 @@
+package io.heatherloft.cli;
+
+import java.io.PrintStream;
+import java.nio.file.Path;
+import java.util.Arrays;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.stream.Collectors;
+import net.sourceforge.argparse4j.ArgumentParsers;
+import net.sourceforge.argparse4j.helper.HelpScreenException;
+import net.sourceforge.argparse4j.inf.ArgumentParser;
+import net.sourceforge.argparse4j.inf.ArgumentParserException;
+import net.sourceforge.argparse4j.inf.Namespace;
+import net.sourceforge.argparse4j.inf.Subparser;
+import net.sourceforge.argparse4j.inf.Subparsers;
+
+/**
+ * Parses the operators' command line and carries it out.
+ *
+ * <p>Example: {@code new CommandLine(System.out, System.err).run("validate", "examples/badvakt")}. Invariant: results go
+ * to the first stream and what went wrong to the second. Confined to one thread.
+ */
+public final class CommandLine {
+    private static final String DEFAULT_STORE = "http://127.0.0.1:2379";
+    private static final String DEFAULT_HOST = "http://127.0.0.1:8081";
+
+    private final PrintStream out;
+    private final PrintStream err;
+    private final ArgumentParser parser = createParser();
+
+    /** Creates a command line that prints to two streams. */
+    public CommandLine(PrintStream out, PrintStream err) {
+        this.out = out;
+        this.err = err;
+    }
+
+    /** Runs a command and returns how it ended. */
+    public ExitCode run(String... arguments) {
+        try {
+            carryOut(parser.parseArgs(arguments));
+            return ExitCode.OK;
+        } catch (HelpScreenException _exception) {
+            return ExitCode.OK;
+        } catch (ArgumentParserException exception) {
+            err.println("heatherloft: " + exception.getMessage());
+            err.println(exception.getParser().formatUsage().trim());
+            return ExitCode.USAGE;
+        } catch (CommandFailure failure) {
+            err.println(failure.getMessage());
+            return failure.exitCode();
+        }
+    }
+
+    private void carryOut(Namespace parsed) {
+        String command = parsed.getString("command");
+        Output output = new Output(out, parsed.getString("output").equals("json"));
+        if (command.equals("validate")) {
+            output.validated(FileSet.read(Path.of(parsed.getString("directory"))));
+            return;
+        }
+        try (PlatformSession session = PlatformSession.open(parsed.getString("store"))) {
+            carryOut(command, parsed, new Commands(session), output);
+        }
+    }
+
+    private static void carryOut(String command, Namespace parsed, Commands commands, Output output) {
+        switch (command) {
+            case "diff" -> output.diff(commands.diff(Path.of(parsed.getString("directory"))));
+            case "apply" -> output.applied(commands.apply(
+                    Path.of(parsed.getString("directory")), parsed.getString("operator"), baseOf(parsed)));
+            case "show" -> {
+                if (parsed.getString("what").equals("bills")) {
+                    output.bills(commands.bills());
+                } else {
+                    output.document(commands.show());
+                }
+            }
+            case "audit" -> output.audit(commands.audit());
+            case "status" -> output.status(commands.status(parsed.getString("host")));
+            case "explain" -> output.explanation(
+                    commands.explain(parsed.getString("host"), parsed.getString("request")));
+            default -> throw new IllegalStateException("command without an action: " + command);
+        }
+    }
+
+    private static OptionalLong baseOf(Namespace parsed) {
+        return Optional.ofNullable(parsed.getLong("base")).map(OptionalLong::of).orElseGet(OptionalLong::empty);
+    }
+
+    private static ArgumentParser createParser() {
+        String exitCodes = Arrays.stream(ExitCode.values())
+                .map(code -> code.value() + " " + code.meaning())
+                .collect(Collectors.joining("; "));
+        ArgumentParser parser = ArgumentParsers.newFor("heatherloft")
+                .build()
+                .defaultHelp(true)
+                .description("Describes to the fleet what it shall do, by files that are applied as a whole, "
+                        + "and shows what it does.")
+                .epilog("Exit codes: " + exitCodes + ".");
+        parser.addArgument("--store").metavar("URL").setDefault(DEFAULT_STORE).help("the platform's key-value service");
+        parser.addArgument("--host")
+                .metavar("URL")
+                .setDefault(DEFAULT_HOST)
+                .help("operations address of any host, for 'status' and 'explain'");
+        parser.addArgument("--output")
+                .choices("text", "json")
+                .setDefault("text")
+                .help("form of the result");
+        Subparsers commands = parser.addSubparsers().dest("command").metavar("COMMAND");
+        withDirectory(commands.addParser("validate").help("check a directory of files; reports every finding"));
+        withDirectory(commands.addParser("diff").help("tell what a directory would change"));
+        Subparser apply = withDirectory(commands.addParser("apply").help("put a directory in force as a whole"));
+        apply.addArgument("--operator")
+                .setDefault(System.getProperty("user.name", "unknown"))
+                .help("name for the audit trail");
+        apply.addArgument("--base")
+                .type(Long.class)
+                .metavar("GENERATION")
+                .help("apply only if this generation is in force, as 'diff' told it");
+        Subparser show = commands.addParser("show").help("show what is in force, or what was billed");
+        show.addArgument("what").choices("configuration", "bills").nargs("?").setDefault("configuration");
+        commands.addParser("status").help("show what a host knows of the fleet");
+        commands.addParser("audit").help("show who changed what, and when");
+        Subparser explain = commands.addParser("explain").help("tell what was decided for a request, and why");
+        explain.addArgument("request").metavar("REQUEST-ID").help("value of the answer's Heatherloft-Request header");
+        return parser;
+    }
+
+    private static Subparser withDirectory(Subparser command) {
+        command.addArgument("directory").metavar("DIRECTORY").help("directory with .yaml files");
+        return command;
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/io/heatherloft/cli/Commands.java
@@ -0,0 +1,119 @@
+package io.heatherloft.cli;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.heatherloft.domain.configuration.Configuration;
+import io.heatherloft.domain.configuration.ConfigurationDiff;
+import io.heatherloft.domain.ledger.WorkspaceTotals;
+import io.heatherloft.platform.configuration.ConfigurationDocument;
+import io.heatherloft.platform.configuration.ConfigurationHead;
+import io.heatherloft.platform.configuration.ConfigurationRepository;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalLong;
+import java.util.UUID;
+
+/**
+ * What the command line can do, apart from how it is asked and shown.
+ *
+ * <p>Invariant: only {@link #apply} writes, and only to the store. Stateless; confined to one thread.
+ */
+public final class Commands {
+    private final PlatformSession session;
+
+    /** Creates commands over a session. */
+    public Commands(PlatformSession session) {
+        this.session = session;
+    }
+
+    /** Compares a directory with what is in force. */
+    public DiffResult diff(Path directory) {
+        FileSet files = FileSet.read(directory);
+        ConfigurationRepository.Versioned head = readHead();
+        return new DiffResult(
+                head.head().generation(),
+                ConfigurationDiff.between(configurationOf(head.head()), files.configuration())
+                        .changes());
+    }
+
+    /**
+     * Puts a directory in force.
+     *
+     * @param base generation that must be in force; empty for whichever is
+     * @throws CommandFailure if it is not in force afterwards, or that is not known
+     */
+    public ConfigurationHead apply(Path directory, String operator, OptionalLong base) {
+        FileSet files = FileSet.read(directory);
+        ConfigurationRepository.Versioned head = readHead();
+        if (base.isPresent() && head.head().generation() != base.getAsLong()) {
+            throw conflict(head.head());
+        }
+        String summary = ConfigurationDiff.between(configurationOf(head.head()), files.configuration())
+                .summary();
+        String writer = UUID.randomUUID().toString();
+        ConfigurationRepository.ApplyOutcome outcome =
+                session.onConfiguration(repository -> repository.apply(head, files.files(), operator, writer, summary));
+        if (outcome instanceof ConfigurationRepository.ApplyOutcome.Applied applied) {
+            return applied.head();
+        }
+        if (outcome instanceof ConfigurationRepository.ApplyOutcome.Conflict conflict) {
+            throw conflict(conflict.standing());
+        }
+        if (outcome instanceof ConfigurationRepository.ApplyOutcome.NotApplied notApplied) {
+            throw new CommandFailure(ExitCode.UNAVAILABLE, "nothing was applied: " + notApplied.reason());
+        }
+        throw new CommandFailure(
+                ExitCode.UNKNOWN,
+                "the answer was lost; see 'audit' for the generation after "
+                        + head.head().generation());
+    }
+
+    /** Returns the configuration in force. */
+    public ConfigurationDocument show() {
+        ConfigurationHead head = readHead().head();
+        return session.onConfiguration(repository -> repository.readDocument(head, Map.of()));
+    }
+
+    /** Returns what each workspace was billed. */
+    public Map<String, WorkspaceTotals> bills() {
+        return session.readBills();
+    }
+
+    /** Returns all generations, oldest first. */
+    public List<ConfigurationHead> audit() {
+        return session.onConfiguration(ConfigurationRepository::readAudit);
+    }
+
+    /** Returns a host's status page. */
+    public JsonNode status(String operationsUrl) {
+        return session.readPage(operationsUrl, "/status");
+    }
+
+    /** Returns the explanation of a request, from whichever host remembers it. */
+    public JsonNode explain(String operationsUrl, String requestId) {
+        return session.readPage(operationsUrl, "/explain/" + requestId);
+    }
+
+    private ConfigurationRepository.Versioned readHead() {
+        return session.onConfiguration(ConfigurationRepository::readHead);
+    }
+
+    private Configuration configurationOf(ConfigurationHead head) {
+        if (head.generation() == 0) {
+            return Configuration.empty();
+        }
+        return session.onConfiguration(repository -> repository.readDocument(head, Map.of()))
+                .parse()
+                .orElseGet(Configuration::empty);
+    }
+
+    private static CommandFailure conflict(ConfigurationHead standing) {
+        return new CommandFailure(
+                ExitCode.CONFLICT,
+                "generation " + standing.generation() + " by " + standing.operator()
+                        + " stands; nothing of yours was applied");
+    }
+
+    /** What an application would change against a generation. */
+    public record DiffResult(long generation, List<ConfigurationDiff.Change> changes) {}
+}
--- /dev/null
+++ b/cli/src/main/java/io/heatherloft/cli/FileSet.java
@@ -0,0 +1,63 @@
+package io.heatherloft.cli;
+
+import io.heatherloft.domain.configuration.Configuration;
+import io.heatherloft.domain.configuration.ConfigurationFile;
+import io.heatherloft.domain.configuration.ConfigurationParser;
+import io.heatherloft.domain.configuration.Finding;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
+
+/**
+ * A directory of configuration files and what they declare.
+ *
+ * <p>Invariant: the files have no findings. Immutable and safe for use by several threads.
+ */
+public record FileSet(List<ConfigurationFile> files, Configuration configuration) {
+    /**
+     * Reads and checks a directory.
+     *
+     * @throws CommandFailure with every finding, or if the directory cannot be read
+     */
+    public static FileSet read(Path directory) {
+        List<ConfigurationFile> files = readFiles(directory);
+        if (files.isEmpty()) {
+            throw new CommandFailure(ExitCode.USAGE, directory + ": expected a directory with .yaml files");
+        }
+        ConfigurationParser.ParseResult result = ConfigurationParser.parse(files);
+        if (result.configuration().isEmpty()) {
+            throw new CommandFailure(ExitCode.INVALID_FILES, describe(result.findings()));
+        }
+        return new FileSet(files, result.configuration().get());
+    }
+
+    private static String describe(List<Finding> findings) {
+        String lines = findings.stream().map(Finding::toString).collect(Collectors.joining("\n"));
+        return lines + "\n" + findings.size() + (findings.size() == 1 ? " finding" : " findings")
+                + "; nothing was written";
+    }
+
+    private static List<ConfigurationFile> readFiles(Path directory) {
+        try (Stream<Path> paths = Files.walk(directory)) {
+            return paths.filter(path -> path.toString().endsWith(".yaml"))
+                    .sorted()
+                    .map(path ->
+                            new ConfigurationFile(directory.relativize(path).toString(), readText(path)))
+                    .toList();
+        } catch (IOException | UncheckedIOException exception) {
+            throw new CommandFailure(ExitCode.USAGE, directory + ": cannot be read: " + exception.getMessage());
+        }
+    }
+
+    private static String readText(Path path) {
+        try {
+            return Files.readString(path);
+        } catch (IOException exception) {
+            throw new UncheckedIOException(exception);
+        }
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/io/heatherloft/cli/PlatformSession.java
@@ -0,0 +1,89 @@
+package io.heatherloft.cli;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.activej.eventloop.Eventloop;
+import io.activej.http.HttpClient;
+import io.heatherloft.domain.ledger.WorkspaceTotals;
+import io.heatherloft.peer.ledger.BillReader;
+import io.heatherloft.platform.configuration.ConfigurationRepository;
+import io.heatherloft.platform.http.HttpClients;
+import io.heatherloft.platform.http.JsonHttp;
+import io.heatherloft.platform.loop.EventloopLoop;
+import io.heatherloft.platform.loop.Futures;
+import io.heatherloft.platform.store.EtcdGatewayStore;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.function.Function;
+
+/**
+ * A connection of the command line to the platform's store and to the pages of hosts.
+ *
+ * <p>Invariant: calls run on an event loop of its own; the methods block and may be called by any one thread.
+ */
+public final class PlatformSession implements AutoCloseable {
+    private static final long PATIENCE_SECONDS = 15L;
+
+    private final Eventloop eventloop = Eventloop.create();
+    private final EventloopLoop loop = new EventloopLoop(eventloop);
+    private final EtcdGatewayStore store;
+    private final HttpClient client;
+
+    private PlatformSession(String storeUrl) {
+        eventloop.keepAlive(true);
+        Thread thread = new Thread(eventloop, "heatherloft-cli");
+        thread.setDaemon(true);
+        thread.start();
+        this.client = eventloop
+                .submit(() -> io.activej.promise.Promise.of(HttpClients.connectingAnew(eventloop)))
+                .join();
+        this.store = new EtcdGatewayStore(client, loop, storeUrl);
+    }
+
+    /** Opens a session on the store at a URL. */
+    public static PlatformSession open(String storeUrl) {
+        return new PlatformSession(storeUrl);
+    }
+
+    /** Runs an action on the configuration and waits for it. */
+    public <T> T onConfiguration(Function<ConfigurationRepository, CompletableFuture<T>> action) {
+        return await(() -> action.apply(new ConfigurationRepository(store, loop)));
+    }
+
+    /** Reads the bills. */
+    public Map<String, WorkspaceTotals> readBills() {
+        return await(() -> new BillReader(store, loop).read());
+    }
+
+    /** Reads a page of a host. */
+    public JsonNode readPage(String operationsUrl, String path) {
+        return await(() -> new JsonHttp(client, operationsUrl).get(path));
+    }
+
+    @Override
+    public void close() {
+        eventloop.keepAlive(false);
+        eventloop.execute(eventloop::breakEventloop);
+    }
+
+    private <T> T await(java.util.function.Supplier<CompletableFuture<T>> action) {
+        CompletableFuture<T> result = new CompletableFuture<>();
+        eventloop.execute(() -> Futures.forward(action.get(), result));
+        try {
+            return result.get(PATIENCE_SECONDS, TimeUnit.SECONDS);
+        } catch (ExecutionException exception) {
+            if (exception.getCause() instanceof JsonHttp.UnexpectedStatusException status && status.isRefusal()) {
+                throw new CommandFailure(ExitCode.NOT_FOUND, status.getMessage());
+            }
+            throw new CommandFailure(
+                    ExitCode.UNAVAILABLE, "no answer: " + exception.getCause().getMessage());
+        } catch (TimeoutException _exception) {
+            throw new CommandFailure(ExitCode.UNAVAILABLE, "no answer in " + PATIENCE_SECONDS + " s");
+        } catch (InterruptedException _exception) {
+            Thread.currentThread().interrupt();
+            throw new CommandFailure(ExitCode.UNAVAILABLE, "interrupted");
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/io/heatherloft/daemon/Daemon.java
@@ -0,0 +1,208 @@
+package io.heatherloft.daemon;
+
+import com.codahale.metrics.Gauge;
+import com.codahale.metrics.MetricRegistry;
+import io.activej.eventloop.Eventloop;
+import io.activej.http.AsyncServlet;
+import io.activej.http.HttpClient;
+import io.activej.http.HttpServer;
+import io.heatherloft.daemon.http.CallerServlet;
+import io.heatherloft.daemon.http.OperationsServlet;
+import io.heatherloft.daemon.settings.DaemonSettings;
+import io.heatherloft.domain.membership.Member;
+import io.heatherloft.peer.NettyPeerNetwork;
+import io.heatherloft.peer.NettyPeerServer;
+import io.heatherloft.peer.PeerTraffic;
+import io.heatherloft.platform.backend.HttpBackendClient;
+import io.heatherloft.platform.backend.HttpEngineOrders;
+import io.heatherloft.platform.hosts.HttpHostList;
+import io.heatherloft.platform.http.HttpClients;
+import io.heatherloft.platform.loop.EventloopLoop;
+import io.heatherloft.platform.rating.HttpRatingService;
+import io.heatherloft.platform.store.EtcdGatewayStore;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.prometheus.metrics.instrumentation.dropwizard.DropwizardExports;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+
+/**
+ * A running entry host: the host's decisions on one event loop, with its HTTP servers and its peers.
+ *
+ * <p>Example:
+ *
+ * <pre>{@code
+ * Daemon daemon = Daemon.start(settings);
+ * daemon.stop().join();
+ * }</pre>
+ *
+ * <p>Invariant: all state is confined to the event loop's thread; the public methods may be called by any thread.
+ */
+public final class Daemon {
+    private static final Logger LOG = LogManager.getLogger(Daemon.class);
+    private static final Duration SLOWEST_CALLER = Duration.ofSeconds(30);
+    private static final char PORT_SEPARATOR = ':';
+
+    private final DaemonSettings settings;
+    private final Eventloop eventloop;
+    private final Thread thread;
+    private final MultiThreadIoEventLoopGroup peerGroup;
+    private final PeerTraffic traffic = new PeerTraffic();
+    private final MetricRegistry registry = new MetricRegistry();
+    private NettyPeerServer peerServer;
+    private NettyPeerNetwork peerNetwork;
+    private HttpServer callerServer;
+    private HttpServer operationsServer;
+    private HostCore core;
+
+    private Daemon(DaemonSettings settings) {
+        this.settings = settings;
+        this.eventloop = Eventloop.builder()
+                .withThreadName("heatherloft-" + settings.id())
+                .build();
+        this.eventloop.keepAlive(true);
+        this.thread = new Thread(eventloop, "heatherloft-" + settings.id());
+        this.peerGroup = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    }
+
+    /**
+     * Starts a host.
+     *
+     * @throws IOException if an address is taken
+     */
+    public static Daemon start(DaemonSettings settings) throws IOException {
+        Daemon daemon = new Daemon(settings);
+        daemon.thread.start();
+        try {
+            daemon.eventloop.submit(daemon::assemble).join();
+        } catch (java.util.concurrent.CompletionException exception) {
+            daemon.shutDown();
+            throw new IOException("host " + settings.id() + " cannot start", exception.getCause());
+        }
+        LOG.info("host {} is started", settings.id());
+        return daemon;
+    }
+
+    /** Stops in order, as on SIGTERM; completes when the process may end. */
+    public CompletableFuture<Void> stop() {
+        LOG.info("host {} is stopping", settings.id());
+        CompletableFuture<Void> stopped = new CompletableFuture<>();
+        eventloop.execute(() -> {
+            CompletableFuture<Void> drained = core.stop(settings.balancerNoticeMillis(), settings.drainMillis());
+            io.heatherloft.platform.loop.Futures.onComplete(drained, (_nothing, _failure) -> {
+                closeServers();
+                stopped.complete(null);
+            });
+        });
+        return stopped.thenRun(this::shutDown);
+    }
+
+    /** Ends at once, as a crash would: nothing is flushed or handed over. */
+    public void kill() {
+        eventloop.submit(this::closeServers).join();
+        shutDown();
+    }
+
+    /** Returns the metrics. */
+    public MetricRegistry registry() {
+        return registry;
+    }
+
+    /** Returns the host's decisions; use them only on the event loop. */
+    public HostCore core() {
+        return core;
+    }
+
+    /** Runs a task on the event loop. */
+    public void execute(Runnable task) {
+        eventloop.execute(task);
+    }
+
+    private void assemble() throws IOException {
+        EventloopLoop loop = new EventloopLoop(eventloop);
+        HttpClient platform = HttpClients.keepingAlive(eventloop);
+        peerNetwork = new NettyPeerNetwork(peerGroup, loop, traffic);
+        Ports ports = new Ports(
+                loop,
+                new Random(),
+                new EtcdGatewayStore(platform, loop, settings.storeUrl()),
+                peerNetwork,
+                new HttpHostList(platform, settings.hostListUrl()),
+                new HttpBackendClient(HttpClients.keepingAlive(eventloop), HttpClients.connectingAnew(eventloop)),
+                new HttpRatingService(platform, settings.ratingUrl()),
+                new HttpEngineOrders(platform));
+        Member self = new Member(
+                settings.id(),
+                loop.nowMillis(),
+                0,
+                settings.peerAddress(),
+                settings.availabilityZone(),
+                Member.Status.ALIVE);
+        core = new HostCore(ports, self, registry);
+        peerServer =
+                new NettyPeerServer(peerGroup, addressOf(settings.peerAddress()), loop, traffic, core.peerHandler());
+        PrometheusRegistry metrics = new PrometheusRegistry();
+        registerGauges();
+        metrics.register(new DropwizardExports(registry));
+        callerServer = listen(settings.callerAddress(), new CallerServlet(core.requests()));
+        operationsServer = listen(settings.operationsAddress(), new OperationsServlet(core, metrics));
+        core.start();
+    }
+
+    private void registerGauges() {
+        registry.register(
+                "requests.in-progress", (Gauge<Integer>) () -> core.requests().inProgress());
+        registry.register(
+                "ledger.not-durable", (Gauge<Integer>) () -> core.ledger().outboxSize());
+        registry.register("configuration.generation", (Gauge<Long>)
+                () -> core.fleet().configuration().generation());
+        registry.register("peers.known", (Gauge<Integer>)
+                () -> core.fleet().members().peers().size());
+        registry.register("peers.sent-bytes", (Gauge<Long>) traffic::sentBytes);
+        registry.register("peers.received-bytes", (Gauge<Long>) traffic::receivedBytes);
+    }
+
+    private HttpServer listen(String address, AsyncServlet servlet) throws IOException {
+        HttpServer server = HttpServer.builder(eventloop, servlet)
+                .withListenAddress(addressOf(address))
+                .withReadWriteTimeout(SLOWEST_CALLER)
+                .build();
+        server.listen();
+        return server;
+    }
+
+    private void closeServers() {
+        if (callerServer != null) {
+            callerServer.close();
+        }
+        if (operationsServer != null) {
+            operationsServer.close();
+        }
+        if (peerServer != null) {
+            peerServer.close();
+        }
+        if (peerNetwork != null) {
+            peerNetwork.close();
+        }
+    }
+
+    private void shutDown() {
+        eventloop.execute(eventloop::breakEventloop);
+        eventloop.keepAlive(false);
+        peerGroup
+                .shutdownGracefully(0, 1, java.util.concurrent.TimeUnit.SECONDS)
+                .syncUninterruptibly();
+    }
+
+    private static InetSocketAddress addressOf(String address) {
+        int separator = address.lastIndexOf(PORT_SEPARATOR);
+        return new InetSocketAddress(
+                address.substring(0, separator), Integer.parseInt(address.substring(separator + 1)));
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/io/heatherloft/daemon/PeerHandler.java
@@ -0,0 +1,64 @@
+package io.heatherloft.daemon;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.heatherloft.daemon.fleet.ConfigurationKeeper;
+import io.heatherloft.daemon.fleet.Gossiper;
+import io.heatherloft.daemon.ledger.LedgerService;
+import io.heatherloft.daemon.request.Explanation;
+import io.heatherloft.daemon.request.ExplanationStore;
+import io.heatherloft.peer.PeerNetwork;
+import io.heatherloft.peer.generated.ExplainAnswer;
+import io.heatherloft.peer.generated.PeerReply;
+import io.heatherloft.peer.generated.PeerRequest;
+import io.heatherloft.platform.http.JsonHttp;
+import java.util.concurrent.CompletableFuture;
+
+/**
+ * Answers the calls of other hosts. Confined to the loop's thread.
+ */
+public final class PeerHandler implements PeerNetwork.Handler {
+    private final Gossiper gossiper;
+    private final ConfigurationKeeper keeper;
+    private final LedgerService ledger;
+    private final ExplanationStore explanations;
+
+    PeerHandler(Gossiper gossiper, ConfigurationKeeper keeper, LedgerService ledger, ExplanationStore explanations) {
+        this.gossiper = gossiper;
+        this.keeper = keeper;
+        this.ledger = ledger;
+        this.explanations = explanations;
+    }
+
+    @Override
+    public CompletableFuture<PeerReply> handle(PeerRequest request) {
+        gossiper.merge(request.getGossip());
+        return answer(request)
+                .thenApply(
+                        reply -> reply.toBuilder().setGossip(gossiper.header()).build());
+    }
+
+    private CompletableFuture<PeerReply> answer(PeerRequest request) {
+        return switch (request.getBodyCase()) {
+            case PROBE_THROUGH -> gossiper.probeFor(request.getProbeThrough());
+            case LEDGER -> ledger.answer(request.getLedger());
+            case HOLD -> CompletableFuture.completedFuture(ledger.answer(request.getHold()));
+            case FETCH_CONFIGURATION -> CompletableFuture.completedFuture(
+                    keeper.answer(request.getFetchConfiguration()));
+            case EXPLAIN -> CompletableFuture.completedFuture(
+                    explain(request.getExplain().getRequestId()));
+            case PROBE, RATING, BODY_NOT_SET -> CompletableFuture.completedFuture(Gossiper.acknowledge(true));
+        };
+    }
+
+    private PeerReply explain(String requestId) {
+        String json = explanations
+                .find(requestId)
+                .map(Explanation::view)
+                .<JsonNode>map(JsonHttp.MAPPER::valueToTree)
+                .map(JsonNode::toString)
+                .orElse("");
+        return PeerReply.newBuilder()
+                .setExplain(ExplainAnswer.newBuilder().setJson(json))
+                .build();
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/io/heatherloft/daemon/backend/BackendDirectory.java
@@ -0,0 +1,138 @@
+package io.heatherloft.daemon.backend;
+
+import io.heatherloft.daemon.Counters;
+import io.heatherloft.daemon.Ports;
+import io.heatherloft.daemon.fleet.FleetState;
+import io.heatherloft.daemon.fleet.Gossiper;
+import io.heatherloft.domain.configuration.Pool;
+import io.heatherloft.domain.membership.Fact;
+import io.heatherloft.domain.routing.BackendServer;
+import io.heatherloft.platform.hosts.HostListing;
+import io.heatherloft.platform.loop.Futures;
+import java.util.ArrayDeque;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+
+/**
+ * The backend servers, their state as this host sees it, and the queue of each pool.
+ *
+ * <p>Invariant: a backend server that is leaving, by the host list, by its own word or by a peer's, is given no place.
+ * Confined to the loop's thread.
+ */
+public final class BackendDirectory {
+    /** Time between reads of the host list, in milliseconds. */
+    public static final long POLL_MILLIS = 1_000L;
+
+    private static final long LEAVING_MEMORY_MILLIS = 60_000L;
+    private static final int DEFAULT_LIMIT_PER_SERVER = 64;
+    private static final int CORRELATED_LOSSES = 3;
+    private static final long CORRELATION_MILLIS = 2_000L;
+
+    private final Ports ports;
+    private final FleetState fleet;
+    private final Counters counters;
+    private final Map<String, BackendState> states = new HashMap<>();
+    private final Map<String, PoolQueue> queues = new HashMap<>();
+    private final ArrayDeque<Loss> recentLosses = new ArrayDeque<>();
+
+    /** Creates an empty directory. */
+    public BackendDirectory(Ports ports, FleetState fleet, Counters counters) {
+        this.ports = ports;
+        this.fleet = fleet;
+        this.counters = counters;
+    }
+
+    /** Starts to read the host list. */
+    public void start() {
+        ports.loop().repeat(POLL_MILLIS, this::readHostList);
+        readHostList();
+    }
+
+    /** Asks for a place; fails with {@link NoCapacityException}. */
+    public CompletableFuture<Slot> acquire(SlotRequest request) {
+        return queues.computeIfAbsent(request.pool(), this::newQueue).acquire(request);
+    }
+
+    /** Returns the backend servers of a pool that may be given work. */
+    public List<BackendServer> usableServers(String pool) {
+        return usableStates(pool).stream().map(BackendState::server).toList();
+    }
+
+    /** Records the word of a backend server that it is leaving, and tells the fleet. */
+    public void recordLeaving(BackendServer server) {
+        if (fleet.learn(Gossiper.fact(
+                Fact.Kind.BACKEND_LEAVING,
+                server.address(),
+                "",
+                fleet,
+                ports.loop().nowMillis(),
+                LEAVING_MEMORY_MILLIS))) {
+            counters.count("backend.leaving");
+        }
+    }
+
+    /**
+     * Records that a backend server was lost with requests in progress.
+     *
+     * @return true if it is one of several lost at once, for which no single request can be held responsible
+     */
+    public boolean recordLoss(BackendServer server) {
+        long now = ports.loop().nowMillis();
+        recentLosses.removeIf(loss -> now - loss.atMillis() > CORRELATION_MILLIS);
+        recentLosses.add(new Loss(server.address(), now));
+        counters.count("backend.losses");
+        long distinct = recentLosses.stream().map(Loss::address).distinct().count();
+        return distinct >= CORRELATED_LOSSES;
+    }
+
+    private void readHostList() {
+        Futures.onComplete(ports.hosts().read(), (listing, failure) -> {
+            if (failure != null) {
+                counters.count("hosts.read-failures");
+            } else {
+                update(listing);
+            }
+        });
+    }
+
+    private void update(HostListing listing) {
+        fleet.updateHosts(listing);
+        listing.backendServers().forEach(server -> {
+            states.computeIfAbsent(server.address(), _address -> new BackendState(server))
+                    .update(server);
+            if (server.leaving()) {
+                recordLeaving(server);
+            }
+        });
+        List<String> listed =
+                listing.backendServers().stream().map(BackendServer::address).toList();
+        states.values()
+                .removeIf(state ->
+                        state.isIdle() && !listed.contains(state.server().address()));
+        queues.values().forEach(PoolQueue::dispatch);
+    }
+
+    private List<BackendState> usableStates(String pool) {
+        Collection<BackendState> all = states.values();
+        return all.stream()
+                .filter(state -> state.server().pool().equals(pool))
+                .filter(state -> fleet.dispatchRules().mayReceiveWork(state.server()))
+                .toList();
+    }
+
+    private PoolQueue newQueue(String pool) {
+        return new PoolQueue(ports.loop(), counters, () -> usableStates(pool), () -> limitPerServer(pool));
+    }
+
+    private int limitPerServer(String pool) {
+        return Optional.ofNullable(fleet.configuration().configuration().pools().get(pool))
+                .map(Pool::maxInFlightPerServer)
+                .orElse(DEFAULT_LIMIT_PER_SERVER);
+    }
+
+    private record Loss(String address, long atMillis) {}
+}
--- /dev/null
+++ b/daemon/src/main/java/io/heatherloft/daemon/backend/OrderGiver.java
@@ -0,0 +1,155 @@
+package io.heatherloft.daemon.backend;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.heatherloft.daemon.Counters;
+import io.heatherloft.daemon.Ports;
+import io.heatherloft.daemon.fleet.FleetState;
+import io.heatherloft.domain.Bytes;
+import io.heatherloft.domain.configuration.Configuration;
+import io.heatherloft.domain.configuration.Model;
+import io.heatherloft.domain.configuration.VersionReference;
+import io.heatherloft.domain.routing.BackendServer;
+import io.heatherloft.platform.backend.EngineOrders;
+import io.heatherloft.platform.http.JsonHttp;
+import io.heatherloft.platform.loop.Futures;
+import io.heatherloft.platform.loop.Loop;
+import io.heatherloft.platform.store.KeyValueStore;
+import io.heatherloft.platform.store.SettledWrites;
+import io.heatherloft.platform.store.StoreValue;
+import io.heatherloft.platform.store.WriteOutcome;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+
+/**
+ * Keeps the versions loaded on engines equal to the configuration, for the engines that fall to this host.
+ *
+ * <p>Invariants: an order carries a fencing number that this host took by compare-and-swap; after taking it from
+ * another host the first order waits until the other can no longer be acting on its own; a wanted state is ordered
+ * again until it is read back. Confined to the loop's thread.
+ */
+public final class OrderGiver {
+    private static final long ROUND_MILLIS = 3_000L;
+    private static final long TAKEOVER_WAIT_MILLIS = 6_000L;
+    private static final String KEY_PREFIX = "heatherloft/orders/";
+
+    private final Ports ports;
+    private final FleetState fleet;
+    private final Counters counters;
+    private final SettledWrites writes;
+    private final Map<String, Fence> fences = new HashMap<>();
+    private Loop.Cancellation rounds = () -> {};
+
+    /** Creates a giver of orders that is not started. */
+    public OrderGiver(Ports ports, FleetState fleet, Counters counters) {
+        this.ports = ports;
+        this.fleet = fleet;
+        this.counters = counters;
+        this.writes = new SettledWrites(ports.store(), ports.loop());
+    }
+
+    /** Starts the rounds. */
+    public void start() {
+        rounds = ports.loop().repeat(ROUND_MILLIS, this::runRound);
+    }
+
+    /** Ends the rounds. */
+    public void stop() {
+        rounds.cancel();
+    }
+
+    private void runRound() {
+        if (fleet.configuration().generation() == 0) {
+            return;
+        }
+        List<BackendServer> engines = fleet.hosts().backendServers().stream()
+                .filter(server -> !wantedVersions(server.pool()).isEmpty())
+                .filter(server -> fleet.dispatchRules().mayReceiveWork(server))
+                .toList();
+        engines.stream().filter(this::isMine).forEach(this::check);
+        fences.keySet().removeIf(address -> engines.stream()
+                .noneMatch(server -> server.address().equals(address) && isMine(server)));
+    }
+
+    private boolean isMine(BackendServer server) {
+        return fleet.members().rendezvous("orders/" + server.address(), 1).stream()
+                .anyMatch(member -> member.id().equals(fleet.members().self().id()));
+    }
+
+    private List<String> wantedVersions(String pool) {
+        Configuration configuration = fleet.configuration().configuration();
+        return configuration.models().values().stream()
+                .flatMap(model -> model.versions().stream()
+                        .filter(version -> version.pool().equals(pool) && !version.withdrawn())
+                        .map(Model.Version::name)
+                        .map(name -> new VersionReference(model.name(), name).toString()))
+                .sorted()
+                .toList();
+    }
+
+    private void check(BackendServer server) {
+        Futures.onResult(ports.orders().loadedVersions(server.address()), loaded -> {
+            List<String> wanted = wantedVersions(server.pool());
+            if (!loaded.stream().sorted().toList().equals(wanted)) {
+                order(server, wanted);
+            }
+        });
+    }
+
+    private void order(BackendServer server, List<String> wanted) {
+        Fence fence = fences.get(server.address());
+        if (fence == null) {
+            takeFence(server.address());
+            return;
+        }
+        if (ports.loop().nowMillis() < fence.usableFromMillis()) {
+            return;
+        }
+        Futures.onComplete(
+                ports.orders().order(server.address(), new EngineOrders.EngineOrder(fence.number(), wanted)),
+                (outcome, failure) -> {
+                    counters.count(failure == null ? "orders.given" : "orders.failed");
+                    if (outcome == EngineOrders.OrderOutcome.STALE) {
+                        fences.remove(server.address());
+                    }
+                });
+    }
+
+    private void takeFence(String address) {
+        String key = KEY_PREFIX + address;
+        Futures.onResult(ports.store().get(key), found -> {
+            long number = found.map(OrderGiver::numberOf).orElse(0L) + 1;
+            long revision = found.map(StoreValue::revision).orElse(KeyValueStore.ABSENT);
+            Bytes value = encode(number);
+            Futures.onResult(writes.put(key, value, revision, OptionalLong.empty()), outcome -> {
+                if (outcome instanceof WriteOutcome.Applied) {
+                    long wait = found.isPresent() ? TAKEOVER_WAIT_MILLIS : 0;
+                    fences.put(address, new Fence(number, ports.loop().nowMillis() + wait));
+                }
+            });
+        });
+    }
+
+    private Bytes encode(long number) {
+        ObjectNode document = JsonHttp.MAPPER.createObjectNode();
+        document.put("number", number);
+        document.put("holder", fleet.members().self().incarnationName());
+        return Bytes.ofText(document.toString());
+    }
+
+    private static long numberOf(StoreValue value) {
+        return Optional.of(value.value().toText()).map(OrderGiver::readNumber).orElse(0L);
+    }
+
+    private static long readNumber(String json) {
+        try {
+            return JsonHttp.MAPPER.readTree(json).path("number").asLong();
+        } catch (com.fasterxml.jackson.core.JsonProcessingException exception) {
+            throw new IllegalStateException("a stored fencing number is not readable: " + json, exception);
+        }
+    }
+
+    private record Fence(long number, long usableFromMillis) {}
+}
--- /dev/null
+++ b/daemon/src/main/java/io/heatherloft/daemon/backend/PoolQueue.java
@@ -0,0 +1,158 @@
+package io.heatherloft.daemon.backend;
+
+import io.heatherloft.daemon.Counters;
+import io.heatherloft.domain.admission.FairQueue;
+import io.heatherloft.domain.admission.WaitEstimator;
+import io.heatherloft.domain.routing.Placement;
+import io.heatherloft.platform.loop.Loop;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Supplier;
+
+/**
+ * Hands out the places of one pool in fair order.
+ *
+ * <p>Invariants: a request is refused as soon as its expected wait passes its deadline, rather than at the deadline; a
+ * workspace runs at most its limit at once; whoever waits is answered by a place or a refusal. Confined to the loop's
+ * thread.
+ */
+final class PoolQueue {
+    private static final int CAPACITY = 4_096;
+    private static final long LEAST_RETRY_AFTER_MILLIS = 250L;
+    private static final long RECHECK_MILLIS = 100L;
+
+    private final Loop loop;
+    private final Counters counters;
+    private final Supplier<List<BackendState>> servers;
+    private final Supplier<Integer> limitPerServer;
+    private final FairQueue<Waiter> queue = new FairQueue<>(CAPACITY);
+    private final WaitEstimator waits = new WaitEstimator();
+    private final Map<String, Integer> running = new HashMap<>();
+    private boolean recheckScheduled;
+
+    PoolQueue(Loop loop, Counters counters, Supplier<List<BackendState>> servers, Supplier<Integer> limitPerServer) {
+        this.loop = loop;
+        this.counters = counters;
+        this.servers = servers;
+        this.limitPerServer = limitPerServer;
+    }
+
+    CompletableFuture<Slot> acquire(SlotRequest request) {
+        if (servers.get().isEmpty()) {
+            return refusal(NoCapacityException.Reason.NO_BACKEND);
+        }
+        if (loop.nowMillis() + waits.expectedWaitMillis(queue.size()) > request.deadlineMillis()) {
+            counters.count("admission.refused-early");
+            return refusal(NoCapacityException.Reason.TOO_LATE);
+        }
+        Waiter waiter = new Waiter(request, new CompletableFuture<>());
+        boolean queued = queue.offer(
+                request.workspace().name(),
+                request.workspace().limits().weight(),
+                request.workspace().limits().maxQueued() + 1,
+                request.priority(),
+                waiter);
+        if (!queued) {
+            counters.count("admission.refused-queue-full");
+            return refusal(NoCapacityException.Reason.QUEUE_FULL);
+        }
+        dispatch();
+        if (!waiter.slot().isDone()) {
+            long patience = Math.max(0, request.deadlineMillis() - loop.nowMillis());
+            loop.schedule(patience, () -> expire(waiter));
+        }
+        return waiter.slot();
+    }
+
+    /** Gives places to those who wait, as far as there are any. */
+    void dispatch() {
+        Optional<Placed> next = nextPlaced();
+        while (next.isPresent()) {
+            grant(next.get());
+            next = nextPlaced();
+        }
+        if (queue.size() > 0 && !recheckScheduled) {
+            recheckScheduled = true;
+            loop.schedule(RECHECK_MILLIS, () -> {
+                recheckScheduled = false;
+                dispatch();
+            });
+        }
+    }
+
+    private Optional<Placed> nextPlaced() {
+        if (queue.size() == 0) {
+            return Optional.empty();
+        }
+        Map<Waiter, BackendState> places = new HashMap<>();
+        return queue.poll(waiter -> {
+                    Optional<BackendState> place = place(waiter.request());
+                    place.ifPresent(state -> places.put(waiter, state));
+                    return place.isPresent();
+                })
+                .map(waiter -> new Placed(waiter, places.get(waiter)));
+    }
+
+    private Optional<BackendState> place(SlotRequest request) {
+        String workspace = request.workspace().name();
+        if (running.getOrDefault(workspace, 0) >= request.workspace().limits().maxInFlight()) {
+            return Optional.empty();
+        }
+        long now = loop.nowMillis();
+        List<BackendState> usable = servers.get().stream()
+                .filter(state -> state.isUsable(now)
+                        && !request.excluded().contains(state.server().address()))
+                .filter(state -> !request.alone() || state.isIdle())
+                .toList();
+        Map<Placement.Candidate, BackendState> states = new HashMap<>();
+        usable.forEach(state -> states.put(state.candidate(limitPerServer.get()), state));
+        return Placement.choose(List.copyOf(states.keySet()), request.prefixHash())
+                .map(states::get);
+    }
+
+    private void grant(Placed placed) {
+        String workspace = placed.waiter().request().workspace().name();
+        running.merge(workspace, 1, Integer::sum);
+        waits.recordDeparture(loop.nowMillis());
+        Slot slot = new Slot(placed.state(), placed.waiter().request().alone(), () -> {
+            running.computeIfPresent(workspace, (_name, count) -> count > 1 ? Integer.valueOf(count - 1) : null);
+            dispatch();
+        });
+        if (!placed.waiter().slot().complete(slot)) {
+            slot.giveBack();
+        }
+    }
+
+    private void expire(Waiter waiter) {
+        if (queue.remove(waiter)) {
+            counters.count("admission.expired-in-queue");
+            waiter.slot().completeExceptionally(noCapacity(NoCapacityException.Reason.TOO_LATE));
+        }
+    }
+
+    private CompletableFuture<Slot> refusal(NoCapacityException.Reason reason) {
+        return CompletableFuture.failedFuture(noCapacity(reason));
+    }
+
+    private NoCapacityException noCapacity(NoCapacityException.Reason reason) {
+        return new NoCapacityException(
+                reason, Math.max(LEAST_RETRY_AFTER_MILLIS, waits.expectedWaitMillis(queue.size())));
+    }
+
+    private record Placed(Waiter waiter, BackendState state) {}
+
+    private record Waiter(SlotRequest request, CompletableFuture<Slot> slot) {
+        @Override
+        public boolean equals(Object other) {
+            return this == other;
+        }
+
+        @Override
+        public int hashCode() {
+            return System.identityHashCode(this);
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/io/heatherloft/daemon/backend/Slot.java
@@ -0,0 +1,51 @@
+package io.heatherloft.daemon.backend;
+
+import io.heatherloft.domain.routing.BackendServer;
+
+/**
+ * A place on a backend server, held for one attempt.
+ *
+ * <p>Invariant: given back at most once. Confined to the loop's thread.
+ */
+public final class Slot {
+    private final BackendState state;
+    private final boolean alone;
+    private final Runnable onGivenBack;
+    private boolean givenBack;
+
+    Slot(BackendState state, boolean alone, Runnable onGivenBack) {
+        this.state = state;
+        this.alone = alone;
+        this.onGivenBack = onGivenBack;
+        state.take(alone);
+    }
+
+    /** Returns the backend server. */
+    public BackendServer server() {
+        return state.server();
+    }
+
+    /** Records the time to the first part of the answer, in milliseconds. */
+    public void recordFirstToken(long millis) {
+        state.recordFirstToken(millis);
+    }
+
+    /** Records how many requests the backend server reports as waiting. */
+    public void recordWaiting(double waiting) {
+        state.recordWaiting(waiting);
+    }
+
+    /** Records that the backend server did not answer. */
+    public void recordLoss(long nowMillis) {
+        state.recordLoss(nowMillis);
+    }
+
+    /** Gives the place back; further calls do nothing. */
+    public void giveBack() {
+        if (!givenBack) {
+            givenBack = true;
+            state.giveBack(alone);
+            onGivenBack.run();
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/io/heatherloft/daemon/fleet/ConfigurationKeeper.java
@@ -0,0 +1,199 @@
+package io.heatherloft.daemon.fleet;
+
+import io.heatherloft.daemon.Counters;
+import io.heatherloft.peer.generated.ConfigurationParts;
+import io.heatherloft.peer.generated.FetchConfiguration;
+import io.heatherloft.peer.generated.PeerReply;
+import io.heatherloft.peer.generated.PeerRequest;
+import io.heatherloft.platform.configuration.ConfigurationDocument;
+import io.heatherloft.platform.configuration.ConfigurationHead;
+import io.heatherloft.platform.configuration.ConfigurationRepository;
+import io.heatherloft.platform.loop.Futures;
+import io.heatherloft.platform.loop.Loop;
+import io.heatherloft.platform.store.KeyValueStore;
+import io.heatherloft.platform.store.StoreValue;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+
+/**
+ * Brings accepted generations to this host: from the store, by a watch on a few hosts of the fleet, and from peers.
+ *
+ * <p>Invariants: the number of watches does not grow with the fleet; a generation taken from a peer is checked against
+ * its digests. Confined to the loop's thread.
+ */
+public final class ConfigurationKeeper {
+    private static final int WATCHING_HOSTS = 3;
+    private static final long ROLE_CHECK_MILLIS = 2_000L;
+    private static final long READ_BACK_MILLIS = 30_000L;
+    private static final long FIRST_BACKOFF_MILLIS = 250L;
+    private static final long LONGEST_BACKOFF_MILLIS = 8_000L;
+
+    private final Loop loop;
+    private final Random random;
+    private final KeyValueStore store;
+    private final ConfigurationRepository repository;
+    private final FleetState fleet;
+    private final Gossiper gossiper;
+    private final Counters counters;
+    private KeyValueStore.Watch watch;
+    private long backoffMillis = FIRST_BACKOFF_MILLIS;
+    private boolean pulling;
+    private boolean stopped;
+
+    /** Creates a keeper that is not started. */
+    public ConfigurationKeeper(
+            Loop loop, Random random, KeyValueStore store, FleetState fleet, Gossiper gossiper, Counters counters) {
+        this.loop = loop;
+        this.random = random;
+        this.store = store;
+        this.repository = new ConfigurationRepository(store, loop);
+        this.fleet = fleet;
+        this.gossiper = gossiper;
+        this.counters = counters;
+        gossiper.onNewerGeneration(this::pullFrom);
+    }
+
+    /** Starts to read and watch. */
+    public void start() {
+        readHead();
+        loop.repeat(ROLE_CHECK_MILLIS, this::checkRole);
+        scheduleReadBack();
+    }
+
+    /** Ends the watch. */
+    public void stop() {
+        stopped = true;
+        closeWatch();
+    }
+
+    /** Answers a host that wants a newer generation. */
+    public PeerReply answer(FetchConfiguration query) {
+        ConfigurationDocument document = fleet.configuration().document();
+        ConfigurationParts.Builder parts = ConfigurationParts.newBuilder();
+        if (document.head().generation() > query.getAboveGeneration()) {
+            parts.setHead(document.head().toJson());
+            document.parts().entrySet().stream()
+                    .filter(part -> !query.getKnownDigestsList().contains(part.getKey()))
+                    .forEach(part -> parts.putParts(part.getKey(), part.getValue()));
+        }
+        return PeerReply.newBuilder().setConfiguration(parts).build();
+    }
+
+    private void checkRole() {
+        String self = fleet.members().self().id();
+        boolean watching = fleet.members().rendezvous("configuration-watch", WATCHING_HOSTS).stream()
+                .anyMatch(member -> member.id().equals(self));
+        if (watching && watch == null && !stopped) {
+            readHead();
+        } else if (!watching) {
+            closeWatch();
+        }
+    }
+
+    private void readHead() {
+        Futures.onComplete(repository.readHead(), (found, failure) -> {
+            if (failure != null) {
+                counters.count("configuration.read-failures");
+                return;
+            }
+            backoffMillis = FIRST_BACKOFF_MILLIS;
+            openWatch(found.revision());
+            fetch(found.head());
+        });
+    }
+
+    private void openWatch(long revision) {
+        String self = fleet.members().self().id();
+        boolean watching = fleet.members().rendezvous("configuration-watch", WATCHING_HOSTS).stream()
+                .anyMatch(member -> member.id().equals(self));
+        if (watch != null || stopped || !watching) {
+            return;
+        }
+        watch = store.watch(ConfigurationRepository.HEAD_KEY, revision + 1, new KeyValueStore.WatchListener() {
+            @Override
+            public void onPut(StoreValue value) {
+                ConfigurationRepository.Versioned.of(value).ifPresent(found -> fetch(found.head()));
+            }
+
+            @Override
+            public void onEnd(String _reason) {
+                watch = null;
+                counters.count("configuration.watch-ends");
+                reopenLater();
+            }
+        });
+    }
+
+    // The head is read before the watch is opened again, so that no generation written in between is missed.
+    private void reopenLater() {
+        long delay = backoffMillis / 2 + random.nextInt((int) backoffMillis);
+        backoffMillis = Math.min(LONGEST_BACKOFF_MILLIS, backoffMillis * 2);
+        loop.schedule(delay, this::checkRole);
+    }
+
+    private void fetch(ConfigurationHead head) {
+        if (head.generation() <= fleet.configuration().generation()) {
+            return;
+        }
+        Map<String, String> known = fleet.configuration().document().parts();
+        Futures.onComplete(repository.readDocument(head, known), (document, failure) -> {
+            if (failure != null) {
+                counters.count("configuration.read-failures");
+                loop.schedule(backoffMillis, this::readHead);
+            } else {
+                fleet.configuration().offer(document);
+            }
+        });
+    }
+
+    private void pullFrom(String address) {
+        if (pulling) {
+            return;
+        }
+        pulling = true;
+        ConfigurationDocument present = fleet.configuration().document();
+        PeerRequest.Builder request = PeerRequest.newBuilder()
+                .setFetchConfiguration(FetchConfiguration.newBuilder()
+                        .setAboveGeneration(present.head().generation())
+                        .addAllKnownDigests(present.parts().keySet()));
+        CompletableFuture<PeerReply> reply = gossiper.call(address, request);
+        Futures.onComplete(reply, (answer, failure) -> {
+            pulling = false;
+            if (failure == null && !answer.getConfiguration().getHead().isEmpty()) {
+                counters.count("configuration.pulled-from-peer");
+                accept(answer.getConfiguration());
+            }
+        });
+    }
+
+    private void accept(ConfigurationParts received) {
+        ConfigurationHead head = ConfigurationHead.parse(received.getHead());
+        Map<String, String> parts = new HashMap<>(received.getPartsMap());
+        Map<String, String> known = fleet.configuration().document().parts();
+        head.files().forEach(file -> {
+            if (known.containsKey(file.digest())) {
+                parts.putIfAbsent(file.digest(), known.get(file.digest()));
+            }
+        });
+        ConfigurationDocument.verified(head, parts).ifPresent(fleet.configuration()::offer);
+    }
+
+    private void scheduleReadBack() {
+        long delay = READ_BACK_MILLIS / 2 + random.nextInt((int) READ_BACK_MILLIS);
+        loop.schedule(delay, () -> {
+            if (!stopped) {
+                readHead();
+                scheduleReadBack();
+            }
+        });
+    }
+
+    private void closeWatch() {
+        if (watch != null) {
+            watch.close();
+            watch = null;
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/io/heatherloft/daemon/fleet/FleetState.java
@@ -0,0 +1,97 @@
+package io.heatherloft.daemon.fleet;
+
+import io.heatherloft.domain.membership.Fact;
+import io.heatherloft.domain.membership.FactSet;
+import io.heatherloft.domain.membership.MemberTable;
+import io.heatherloft.domain.routing.CrashRules;
+import io.heatherloft.domain.routing.DispatchRules;
+import io.heatherloft.domain.routing.VersionSelector;
+import io.heatherloft.platform.hosts.HostListing;
+import io.heatherloft.platform.loop.Loop;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Consumer;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+
+/**
+ * What one host knows of the fleet. Invariant: facts are only added through {@link #learn}. Confined to the loop's
+ * thread.
+ */
+public final class FleetState {
+    private static final Logger LOG = LogManager.getLogger(FleetState.class);
+
+    private final Loop loop;
+    private final MemberTable members;
+    private final FactSet facts = new FactSet();
+    private final ConfigurationState configuration = new ConfigurationState();
+    private final ShardOwners shardOwners = new ShardOwners();
+    private final List<Consumer<Fact>> factListeners = new ArrayList<>();
+    private HostListing hosts = HostListing.EMPTY;
+
+    /** Creates the state of a host that knows only itself. */
+    public FleetState(Loop loop, MemberTable members) {
+        this.loop = loop;
+        this.members = members;
+    }
+
+    /** Adds a fact; returns true if it was new. */
+    public boolean learn(Fact fact) {
+        boolean added = facts.add(fact, loop.nowMillis());
+        if (added) {
+            LOG.info("learned {} of {} {}", fact.kind(), fact.subject(), fact.detail());
+            factListeners.forEach(listener -> listener.accept(fact));
+        }
+        return added;
+    }
+
+    /** Calls back for each new fact. */
+    public void onFact(Consumer<Fact> listener) {
+        factListeners.add(listener);
+    }
+
+    /** Returns the entry hosts. */
+    public MemberTable members() {
+        return members;
+    }
+
+    /** Returns the facts. */
+    public FactSet facts() {
+        return facts;
+    }
+
+    /** Returns the configuration. */
+    public ConfigurationState configuration() {
+        return configuration;
+    }
+
+    /** Returns who owns the ledger's shards. */
+    public ShardOwners shardOwners() {
+        return shardOwners;
+    }
+
+    /** Returns the latest host listing. */
+    public HostListing hosts() {
+        return hosts;
+    }
+
+    /** Replaces the host listing. */
+    public void updateHosts(HostListing listing) {
+        hosts = listing;
+    }
+
+    /** Returns the dispatch rules as of now. */
+    public DispatchRules dispatchRules() {
+        return new DispatchRules(configuration.configuration(), facts);
+    }
+
+    /** Returns the version choice as of now. */
+    public VersionSelector versionSelector() {
+        return new VersionSelector(configuration.configuration(), dispatchRules());
+    }
+
+    /** Returns the crash rules as of now. */
+    public CrashRules crashRules() {
+        return new CrashRules(facts);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/io/heatherloft/daemon/ledger/LedgerService.java
@@ -0,0 +1,236 @@
+package io.heatherloft.daemon.ledger;
+
+import io.heatherloft.daemon.Counters;
+import io.heatherloft.daemon.Ports;
+import io.heatherloft.daemon.fleet.FleetState;
+import io.heatherloft.daemon.fleet.Gossiper;
+import io.heatherloft.daemon.fleet.ShardOwners;
+import io.heatherloft.domain.ledger.LedgerRecord;
+import io.heatherloft.domain.ledger.LedgerReply;
+import io.heatherloft.domain.ledger.Retention;
+import io.heatherloft.domain.membership.Member;
+import io.heatherloft.peer.LedgerCodec;
+import io.heatherloft.peer.generated.HoldRecord;
+import io.heatherloft.peer.generated.LedgerAnswer;
+import io.heatherloft.peer.generated.LedgerSubmission;
+import io.heatherloft.peer.generated.PeerReply;
+import io.heatherloft.peer.generated.PeerRequest;
+import io.heatherloft.peer.ledger.LedgerKeys;
+import io.heatherloft.peer.ledger.LedgerLog;
+import io.heatherloft.platform.loop.Futures;
+import io.heatherloft.platform.loop.Loop;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+
+/**
+ * The ledger as the requests of one host see it: brings each record to the owner of its shard, wherever that is.
+ *
+ * <p>Invariants: a record that was accepted by {@link #settle} is sent again until it is durable; a settlement is
+ * confirmed only when it is durable or in memory on hosts of two availability zones. Confined to the loop's thread.
+ */
+public final class LedgerService {
+    private static final long FIRST_RETRY_MILLIS = 25L;
+    private static final long LONGEST_RETRY_MILLIS = 1_000L;
+    private static final long DURABLE_PATIENCE_MILLIS = 400L;
+    private static final int OUTBOX_CAPACITY = 50_000;
+
+    private final Ports ports;
+    private final FleetState fleet;
+    private final Gossiper gossiper;
+    private final Counters counters;
+    private final Map<Integer, ShardOwner> owners = new HashMap<>();
+    private final Map<Integer, ShardSender> senders = new HashMap<>();
+
+    /** Creates the service of a host. */
+    public LedgerService(Ports ports, FleetState fleet, Gossiper gossiper, Counters counters) {
+        this.ports = ports;
+        this.fleet = fleet;
+        this.gossiper = gossiper;
+        this.counters = counters;
+    }
+
+    /**
+     * Submits a record and waits for a durable reply, up to a time in milliseconds.
+     *
+     * @return never fails; {@link LedgerReply.Unavailable} if no reply came in time, when the record may yet become
+     *     durable
+     */
+    public CompletableFuture<LedgerReply> submit(LedgerRecord record, long patienceMillis) {
+        CompletableFuture<LedgerReply> result = new CompletableFuture<>();
+        long deadline = ports.loop().nowMillis() + patienceMillis;
+        attempt(record, deadline, FIRST_RETRY_MILLIS, result);
+        ports.loop().schedule(patienceMillis, () -> result.complete(new LedgerReply.Unavailable("no reply in time")));
+        return result;
+    }
+
+    /**
+     * Makes a settlement, release or pin durable, however long that takes.
+     *
+     * @return completes with true when the record is safe, or with false if the outbox is full
+     */
+    public CompletableFuture<Boolean> settle(LedgerRecord record) {
+        if (isFull()) {
+            return CompletableFuture.completedFuture(false);
+        }
+        CompletableFuture<Boolean> safe = new CompletableFuture<>();
+        Futures.onResult(sender(record).add(record), _durable -> safe.complete(true));
+        ports.loop().schedule(DURABLE_PATIENCE_MILLIS, () -> holdElsewhere(record, safe));
+        return safe;
+    }
+
+    /** Returns true if no further settlement can be accepted, so that no new request should start. */
+    public boolean isFull() {
+        return outboxSize() >= OUTBOX_CAPACITY;
+    }
+
+    /** Returns the number of records that are not durable yet. */
+    public int outboxSize() {
+        return senders.values().stream().mapToInt(ShardSender::size).sum();
+    }
+
+    /** Returns the shards that this host has read, for inspection. */
+    public Collection<Integer> ownedShards() {
+        return owners.entrySet().stream()
+                .filter(entry -> entry.getValue().state().isPresent())
+                .map(Map.Entry::getKey)
+                .sorted()
+                .toList();
+    }
+
+    /** Answers a record that another host sent to the owner of its shard. */
+    public CompletableFuture<PeerReply> answer(LedgerSubmission submission) {
+        if (!isOwner(submission.getShard())) {
+            LedgerAnswer refusal = LedgerAnswer.newBuilder()
+                    .setKind(LedgerAnswer.Kind.NOT_OWNER)
+                    .build();
+            return CompletableFuture.completedFuture(
+                    PeerReply.newBuilder().setLedger(refusal).build());
+        }
+        return owner(submission.getShard())
+                .submit(LedgerCodec.decode(submission.getRecord()))
+                .thenApply(reply -> PeerReply.newBuilder()
+                        .setLedger(LedgerCodec.encode(reply))
+                        .build());
+    }
+
+    /** Holds a record for a host of another availability zone. */
+    public PeerReply answer(HoldRecord hold) {
+        LedgerRecord record = LedgerCodec.decode(hold.getRecord());
+        if (isFull()) {
+            return Gossiper.acknowledge(false);
+        }
+        counters.count("ledger.held-for-peers");
+        Futures.onResult(sender(record).add(record), _durable -> {});
+        return Gossiper.acknowledge(true);
+    }
+
+    /** Completes when every accepted record is durable. */
+    public CompletableFuture<Void> flush() {
+        CompletableFuture<Void> flushed = new CompletableFuture<>();
+        awaitFlush(flushed);
+        return flushed;
+    }
+
+    /** Gives up the shards of this host; records still waiting go to the next owners. */
+    public void handOver() {
+        owners.values().forEach(ShardOwner::abandon);
+        owners.clear();
+    }
+
+    private void awaitFlush(CompletableFuture<Void> flushed) {
+        int waiting =
+                owners.values().stream().mapToInt(ShardOwner::pendingCount).sum();
+        if (outboxSize() == 0 && waiting == 0) {
+            flushed.complete(null);
+        } else {
+            ports.loop().schedule(FIRST_RETRY_MILLIS, () -> awaitFlush(flushed));
+        }
+    }
+
+    private ShardSender sender(LedgerRecord record) {
+        int shard = LedgerKeys.shardOf(record.shardHash());
+        return senders.computeIfAbsent(shard, _shard -> new ShardSender(ports.loop(), this::sendToOwner));
+    }
+
+    private void attempt(LedgerRecord record, long deadline, long retryMillis, CompletableFuture<LedgerReply> result) {
+        if (result.isDone()) {
+            return;
+        }
+        Futures.onComplete(sendToOwner(record), (reply, failure) -> {
+            if (failure == null && !(reply instanceof LedgerReply.Unavailable)) {
+                result.complete(reply);
+            } else if (ports.loop().nowMillis() + retryMillis >= deadline) {
+                result.complete(new LedgerReply.Unavailable("no reply in time"));
+            } else {
+                counters.count("ledger.retries");
+                long next = Math.min(LONGEST_RETRY_MILLIS, retryMillis * 2);
+                long jittered = retryMillis / 2 + ports.random().nextInt((int) retryMillis);
+                ports.loop().schedule(jittered, () -> attempt(record, deadline, next, result));
+            }
+        });
+    }
+
+    private CompletableFuture<LedgerReply> sendToOwner(LedgerRecord record) {
+        int shard = LedgerKeys.shardOf(record.shardHash());
+        Member owner = fleet.shardOwners().ownerOf(shard, fleet.members());
+        if (owner.id().equals(fleet.members().self().id())) {
+            return owner(shard).submit(record);
+        }
+        PeerRequest.Builder request = PeerRequest.newBuilder()
+                .setLedger(LedgerSubmission.newBuilder().setShard(shard).setRecord(LedgerCodec.encode(record)));
+        return gossiper.call(owner.address(), request).thenApply(reply -> LedgerCodec.decode(reply.getLedger()));
+    }
+
+    private void holdElsewhere(LedgerRecord record, CompletableFuture<Boolean> safe) {
+        if (safe.isDone()) {
+            return;
+        }
+        Optional<Member> holder = chooseHolder();
+        if (holder.isEmpty()) {
+            ports.loop().schedule(DURABLE_PATIENCE_MILLIS, () -> holdElsewhere(record, safe));
+            return;
+        }
+        PeerRequest.Builder request =
+                PeerRequest.newBuilder().setHold(HoldRecord.newBuilder().setRecord(LedgerCodec.encode(record)));
+        Futures.onComplete(gossiper.call(holder.get().address(), request), (reply, failure) -> {
+            if (failure == null && reply.getAcknowledgement().getAccepted()) {
+                counters.count("ledger.held-by-peers");
+                safe.complete(true);
+            } else {
+                ports.loop().schedule(DURABLE_PATIENCE_MILLIS, () -> holdElsewhere(record, safe));
+            }
+        });
+    }
+
+    private Optional<Member> chooseHolder() {
+        String ownZone = fleet.members().self().availabilityZone();
+        List<Member> peers = fleet.members()
+                .randomAlive(Integer.MAX_VALUE, fleet.members().self().id());
+        return peers.stream()
+                .filter(member -> !member.availabilityZone().equals(ownZone))
+                .findFirst()
+                .or(() -> peers.stream().findFirst());
+    }
+
+    private boolean isOwner(int shard) {
+        Member owner = fleet.shardOwners().ownerOf(shard, fleet.members());
+        return owner.id().equals(fleet.members().self().id());
+    }
+
+    private ShardOwner owner(int shard) {
+        return owners.computeIfAbsent(shard, this::newOwner);
+    }
+
+    private ShardOwner newOwner(int shard) {
+        String writer = fleet.members().self().incarnationName();
+        Loop loop = ports.loop();
+        LedgerLog log = new LedgerLog(ports.store(), loop, shard, writer, Retention.DEFAULT);
+        return new ShardOwner(loop, log, counters, sequence -> fleet.shardOwners()
+                .merge(new ShardOwners.Announcement(
+                        shard, sequence, fleet.members().self().id())));
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/io/heatherloft/daemon/request/CountedChannel.java
@@ -0,0 +1,55 @@
+package io.heatherloft.daemon.request;
+
+import io.heatherloft.domain.Bytes;
+import java.util.concurrent.CompletableFuture;
+
+/**
+ * A channel that tells when its answer has ended, in whatever way.
+ *
+ * <p>Invariant: tells once. Confined to the loop's thread.
+ */
+final class CountedChannel implements CallerChannel {
+    private final CallerChannel channel;
+    private final Runnable onEnded;
+    private boolean ended;
+
+    CountedChannel(CallerChannel channel, Runnable onEnded) {
+        this.channel = channel;
+        this.onEnded = onEnded;
+        channel.onGone(this::end);
+    }
+
+    @Override
+    public void start(AnswerHead head) {
+        channel.start(head);
+    }
+
+    @Override
+    public CompletableFuture<Void> write(Bytes chunk) {
+        return channel.write(chunk);
+    }
+
+    @Override
+    public void finish() {
+        channel.finish();
+        end();
+    }
+
+    @Override
+    public void abort() {
+        channel.abort();
+        end();
+    }
+
+    @Override
+    public void onGone(Runnable listener) {
+        channel.onGone(listener);
+    }
+
+    private void end() {
+        if (!ended) {
+            ended = true;
+            onEnded.run();
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/io/heatherloft/daemon/request/SessionBinder.java
@@ -0,0 +1,183 @@
+package io.heatherloft.daemon.request;
+
+import io.heatherloft.daemon.Counters;
+import io.heatherloft.daemon.Ports;
+import io.heatherloft.daemon.fleet.FleetState;
+import io.heatherloft.daemon.ledger.LedgerService;
+import io.heatherloft.domain.configuration.Configuration;
+import io.heatherloft.domain.configuration.Model;
+import io.heatherloft.domain.configuration.VersionReference;
+import io.heatherloft.domain.configuration.Workspace;
+import io.heatherloft.domain.ledger.LedgerRecord;
+import io.heatherloft.domain.ledger.LedgerReply;
+import io.heatherloft.domain.ledger.Retention;
+import io.heatherloft.domain.ledger.SessionKey;
+import io.heatherloft.domain.routing.DispatchRules;
+import io.heatherloft.domain.routing.VersionSelector;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+
+/**
+ * Finds the version on which a request runs: that of its session, or a new choice.
+ *
+ * <p>Invariants: a session's version is the one in the ledger; a session leaves it only when it may no longer be used
+ * and the workspace's file says that sessions move; where the ledger cannot tell and more than one version is possible,
+ * nothing is chosen. Confined to the loop's thread.
+ */
+public final class SessionBinder {
+    private static final int CACHE_CAPACITY = 100_000;
+    private static final long CACHE_MILLIS = Retention.DEFAULT.sessionMillis() / 4;
+    private static final long PIN_PATIENCE_MILLIS = 1_500L;
+
+    private final Ports ports;
+    private final FleetState fleet;
+    private final LedgerService ledger;
+    private final Counters counters;
+    private final Map<SessionKey, CachedPin> cache = new LinkedHashMap<>() {
+        private static final long serialVersionUID = 1L;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<SessionKey, CachedPin> _eldest) {
+            return size() > CACHE_CAPACITY;
+        }
+    };
+
+    /** Creates a binder. */
+    public SessionBinder(Ports ports, FleetState fleet, LedgerService ledger, Counters counters) {
+        this.ports = ports;
+        this.fleet = fleet;
+        this.ledger = ledger;
+        this.counters = counters;
+    }
+
+    /** Finds the version for a request. */
+    public CompletableFuture<Binding> bind(
+            Workspace workspace, String model, Optional<String> sessionId, String requestId) {
+        if (sessionId.isEmpty()) {
+            VersionSelector.Selection selection = fleet.versionSelector().select(workspace.name(), model, requestId);
+            return CompletableFuture.completedFuture(ofSelection(selection));
+        }
+        SessionKey session = new SessionKey(workspace.name(), sessionId.get(), model);
+        CachedPin cached = cache.get(session);
+        if (cached != null && ports.loop().nowMillis() - cached.atMillis() < CACHE_MILLIS) {
+            return usable(workspace, session, cached.version());
+        }
+        return pinned(workspace, session);
+    }
+
+    private CompletableFuture<Binding> pinned(Workspace workspace, SessionKey session) {
+        VersionSelector.Selection selection =
+                fleet.versionSelector().select(workspace.name(), session.model(), session.sessionId());
+        VersionReference wanted = Optional.ofNullable(cache.get(session))
+                .map(CachedPin::version)
+                .or(selection::version)
+                .orElse(null);
+        if (wanted == null) {
+            return CompletableFuture.completedFuture(ofSelection(selection));
+        }
+        return submitPin(session, wanted, Optional.empty()).thenCompose(reply -> {
+            if (reply instanceof LedgerReply.Pinned pinned) {
+                remember(session, pinned.version());
+                return usable(workspace, session, pinned.version());
+            }
+            counters.count("session.pin-unavailable");
+            return CompletableFuture.completedFuture(withoutLedger(workspace, session));
+        });
+    }
+
+    // A pin that may exist cannot be contradicted if there is only one version that it can name.
+    private Binding withoutLedger(Workspace workspace, SessionKey session) {
+        DispatchRules rules = fleet.dispatchRules();
+        Configuration configuration = fleet.configuration().configuration();
+        List<VersionReference> possible = configuration.models().get(session.model()).versions().stream()
+                .map(version -> new VersionReference(session.model(), version.name()))
+                .filter(version -> rules.refusalOf(workspace.name(), version).isEmpty())
+                .toList();
+        return possible.size() == 1
+                ? Binding.to(possible.get(0), "the only version possible")
+                : Binding.refused(Refusal.LEDGER_UNAVAILABLE, "the session's version cannot be read now");
+    }
+
+    private CompletableFuture<Binding> usable(Workspace workspace, SessionKey session, VersionReference version) {
+        Optional<DispatchRules.Refusal> refusal = fleet.dispatchRules().refusalOf(workspace.name(), version);
+        if (refusal.isEmpty()) {
+            return CompletableFuture.completedFuture(Binding.to(version, "the session's version"));
+        }
+        String reason = version + " is " + refusal.get();
+        if (workspace.withdrawnSession() == Workspace.WithdrawnSession.REFUSE) {
+            return CompletableFuture.completedFuture(Binding.refused(Refusal.SESSION_ENDED, reason));
+        }
+        return successor(workspace, session, version)
+                .map(next -> move(session, version, next))
+                .orElseGet(() -> CompletableFuture.completedFuture(
+                        Binding.refused(Refusal.SESSION_ENDED, reason + " and has no usable successor")));
+    }
+
+    private CompletableFuture<Binding> move(SessionKey session, VersionReference from, VersionReference next) {
+        return submitPin(session, next, Optional.of(from)).thenApply(reply -> {
+            if (reply instanceof LedgerReply.Pinned pinned && !pinned.version().equals(from)) {
+                remember(session, pinned.version());
+                return Binding.to(pinned.version(), "successor of " + from);
+            }
+            return Binding.refused(Refusal.LEDGER_UNAVAILABLE, "the session's move cannot be recorded now");
+        });
+    }
+
+    private Optional<VersionReference> successor(Workspace workspace, SessionKey session, VersionReference version) {
+        DispatchRules rules = fleet.dispatchRules();
+        return fleet.configuration()
+                .configuration()
+                .version(version)
+                .flatMap(Model.Version::successor)
+                .map(name -> new VersionReference(session.model(), name))
+                .filter(next -> rules.refusalOf(workspace.name(), next).isEmpty())
+                .or(() -> fleet.versionSelector()
+                        .select(workspace.name(), session.model(), session.sessionId())
+                        .version());
+    }
+
+    private CompletableFuture<LedgerReply> submitPin(
+            SessionKey session, VersionReference version, Optional<VersionReference> replaces) {
+        return ledger.submit(
+                new LedgerRecord.SessionPin(
+                        session, version, replaces, ports.loop().nowMillis()),
+                PIN_PATIENCE_MILLIS);
+    }
+
+    private void remember(SessionKey session, VersionReference version) {
+        cache.put(session, new CachedPin(version, ports.loop().nowMillis()));
+    }
+
+    private static Binding ofSelection(VersionSelector.Selection selection) {
+        return selection
+                .version()
+                .map(version -> Binding.to(version, "ruled out: " + selection.ruledOut()))
+                .orElseGet(() -> Binding.refused(Refusal.NO_VERSION, "ruled out: " + selection.ruledOut()));
+    }
+
+    private record CachedPin(VersionReference version, long atMillis) {}
+
+    /** Why there is no version. */
+    public enum Refusal {
+        /** No version of the model may be used. */
+        NO_VERSION,
+        /** The session's version may no longer be used. */
+        SESSION_ENDED,
+        /** The ledger does not answer. */
+        LEDGER_UNAVAILABLE
+    }
+
+    /** A version, or the reason why there is none. */
+    public record Binding(Optional<VersionReference> version, Optional<Refusal> refusal, String reason) {
+        static Binding to(VersionReference version, String reason) {
+            return new Binding(Optional.of(version), Optional.empty(), reason);
+        }
+
+        static Binding refused(Refusal refusal, String reason) {
+            return new Binding(Optional.empty(), Optional.of(refusal), reason);
+        }
+    }
+}
--- /dev/null
+++ b/demo/src/main/java/io/heatherloft/demo/DemoScript.java
@@ -0,0 +1,155 @@
+package io.heatherloft.demo;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.heatherloft.cli.ExitCode;
+import io.heatherloft.daemon.request.RequestIds;
+import io.heatherloft.platform.http.JsonHttp;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.net.http.HttpResponse;
+import java.util.Random;
+
+/**
+ * Sends the demo's requests and compares each outcome with what it should be.
+ *
+ * <p>Invariant: an outcome that is not as expected is printed and remembered. Confined to one thread.
+ */
+final class DemoScript {
+    private static final String CHAT = "/v1/chat/completions";
+    private static final long READY_PATIENCE_MILLIS = 20_000L;
+    private static final long READY_CHECK_MILLIS = 100L;
+    private static final int STATUS_OK = 200;
+    private static final int STATUS_CREATED = 201;
+    private static final int STATUS_UNAUTHORIZED = 401;
+
+    private final DemoFleet fleet;
+    private final PrintStream out;
+    private final DemoCaller caller = new DemoCaller("badvakt-malmo-key");
+    private boolean asExpected = true;
+
+    DemoScript(DemoFleet fleet, PrintStream out) {
+        this.fleet = fleet;
+        this.out = out;
+    }
+
+    boolean run() throws IOException, InterruptedException {
+        awaitReady();
+        plainCompletion();
+        streamedCompletion();
+        escalatingCascade();
+        statusLookup();
+        bookingSentTwice();
+        wrongKey();
+        expect("bills can be shown", fleet.commandLine("show", "bills") == ExitCode.OK);
+        expect("the audit trail can be shown", fleet.commandLine("audit") == ExitCode.OK);
+        return asExpected;
+    }
+
+    private void awaitReady() throws IOException, InterruptedException {
+        for (int host = 0; host < fleet.hosts(); host++) {
+            long waited = 0;
+            while (caller.get(fleet.operationsAddress(host), "/ready").statusCode() != STATUS_OK
+                    && waited < READY_PATIENCE_MILLIS) {
+                Thread.sleep(READY_CHECK_MILLIS);
+                waited += READY_CHECK_MILLIS;
+            }
+            expect(
+                    "host " + (host + 1) + " is ready",
+                    caller.get(fleet.operationsAddress(host), "/ready").statusCode() == STATUS_OK);
+        }
+    }
+
+    private void plainCompletion() throws IOException, InterruptedException {
+        HttpResponse<String> answer = chat(0, "rota-brief", "Is chair 4 covered at noon?", false);
+        JsonNode document = JsonHttp.MAPPER.readTree(answer.body());
+        expect(
+                "plain completion: "
+                        + document.path("choices")
+                                .path(0)
+                                .path("message")
+                                .path("content")
+                                .asText(),
+                answer.statusCode() == STATUS_OK
+                        && document.path("usage").path("completion_tokens").asInt() > 0);
+        showRoute(answer);
+    }
+
+    private void streamedCompletion() throws IOException, InterruptedException {
+        HttpResponse<String> answer = chat(1, "rota-planner", "Season plan for the north beach.", true);
+        long events =
+                answer.body().lines().filter(line -> line.startsWith("data: {")).count();
+        expect(
+                "streamed completion of " + events + " events",
+                answer.statusCode() == STATUS_OK && answer.body().strip().endsWith("data: [DONE]"));
+        showRoute(answer);
+    }
+
+    private void escalatingCascade() throws IOException, InterruptedException {
+        HttpResponse<String> answer = chat(0, "shift-summary", "Summarise the shifts of week 30.", false);
+        String version = answer.headers().firstValue("Heatherloft-Version").orElse("");
+        expect("cascade escalates to " + version, version.startsWith("rota-planner@"));
+        showRoute(answer);
+    }
+
+    private void statusLookup() throws IOException, InterruptedException {
+        HttpResponse<String> answer = caller.get(fleet.callerAddress(1), "/services/tower-booking/swaps/17");
+        expect("status lookup: " + answer.body(), answer.statusCode() == STATUS_OK);
+        showRoute(answer);
+    }
+
+    private void bookingSentTwice() throws IOException, InterruptedException {
+        String id = RequestIds.mint(System.currentTimeMillis(), new Random());
+        HttpResponse<String> first = book(0, id);
+        HttpResponse<String> second = book(1, id);
+        expect("booking: " + first.body(), first.statusCode() == STATUS_CREATED);
+        showRoute(first);
+        boolean replayed = second.headers().firstValue("Heatherloft-Replayed").isPresent();
+        expect("resend to the other host is answered from the record: " + second.body(), replayed);
+        expect(
+                "the booking ran " + fleet.bookings() + " time",
+                fleet.bookings() == 1 && second.body().equals(first.body()));
+        showRoute(second);
+    }
+
+    private void wrongKey() throws IOException, InterruptedException {
+        HttpResponse<String> answer = new DemoCaller("wrong").post(fleet.callerAddress(0), CHAT, "{}");
+        expect("wrong key: " + answer.body(), answer.statusCode() == STATUS_UNAUTHORIZED);
+    }
+
+    private HttpResponse<String> book(int host, String id) throws IOException, InterruptedException {
+        return caller.post(
+                fleet.callerAddress(host),
+                "/services/tower-booking/swaps",
+                "{\"chair\":4,\"from\":\"Ines\",\"to\":\"Olle\"}",
+                "Idempotency-Key",
+                id);
+    }
+
+    private HttpResponse<String> chat(int host, String model, String question, boolean stream)
+            throws IOException, InterruptedException {
+        String body = JsonHttp.MAPPER
+                .createObjectNode()
+                .put("model", model)
+                .put("stream", stream)
+                .set(
+                        "messages",
+                        JsonHttp.MAPPER
+                                .createArrayNode()
+                                .add(JsonHttp.MAPPER
+                                        .createObjectNode()
+                                        .put("role", "user")
+                                        .put("content", question)))
+                .toString();
+        return caller.post(fleet.callerAddress(host), CHAT, body, "Heatherloft-Session", "demo-session");
+    }
+
+    private void showRoute(HttpResponse<String> answer) {
+        String requestId = answer.headers().firstValue("Heatherloft-Request").orElse("");
+        expect("route", fleet.commandLine("explain", requestId) == ExitCode.OK);
+    }
+
+    private void expect(String what, boolean holds) {
+        asExpected &= holds;
+        out.println((holds ? "ok    " : "WRONG ") + what);
+    }
+}
--- /dev/null
+++ b/domain/src/main/java/io/heatherloft/domain/ledger/ClaimToken.java
@@ -0,0 +1,9 @@
+package io.heatherloft.domain.ledger;
+
+/**
+ * Names the attempt that holds a claim.
+ *
+ * <p>Invariant: no two attempts share a token, since a host's incarnation is new at each start. Immutable and safe
+ * for use by several threads.
+ */
+public record ClaimToken(String hostIncarnation, long counter) {}
--- /dev/null
+++ b/domain/src/main/java/io/heatherloft/domain/routing/RetryBudget.java
@@ -0,0 +1,39 @@
+package io.heatherloft.domain.routing;
+
+/**
+ * Bounds retries to a fraction of recent successes, so that retries cannot multiply an overload.
+ *
+ * <p>Invariant: over any period, retries granted are at most the initial allowance plus {@code ratio} times the
+ * successes. Confined to one thread.
+ */
+public final class RetryBudget {
+    private final double ratio;
+    private final double ceiling;
+    private double balance;
+
+    /**
+     * Creates a budget.
+     *
+     * @param ratio retries earned by a success
+     * @param ceiling greatest number of retries saved up; also the initial allowance
+     */
+    public RetryBudget(double ratio, double ceiling) {
+        this.ratio = ratio;
+        this.ceiling = ceiling;
+        this.balance = ceiling;
+    }
+
+    /** Records a success. */
+    public void recordSuccess() {
+        balance = Math.min(ceiling, balance + ratio);
+    }
+
+    /** Takes one retry from the budget; returns false if there is none. */
+    public boolean tryRetry() {
+        if (balance < 1) {
+            return false;
+        }
+        balance -= 1;
+        return true;
+    }
+}
--- /dev/null
+++ b/peer/src/main/java/io/heatherloft/peer/NettyPeerNetwork.java
@@ -0,0 +1,141 @@
+package io.heatherloft.peer;
+
+import io.heatherloft.peer.generated.Frame;
+import io.heatherloft.peer.generated.PeerReply;
+import io.heatherloft.peer.generated.PeerRequest;
+import io.heatherloft.platform.loop.Futures;
+import io.heatherloft.platform.loop.Loop;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+
+/**
+ * Calls other hosts over Netty, one connection for each host that is being talked to.
+ *
+ * <p>Invariants: a call completes exactly once; a reply goes to the call with its correlation number on the same
+ * connection; a host that does not read is not written to. Confined to the loop's thread; only frame decoding runs on
+ * Netty's.
+ */
+public final class NettyPeerNetwork implements PeerNetwork {
+    private static final long CALL_TIMEOUT_MILLIS = 1_000L;
+    private static final int CONNECT_TIMEOUT_MILLIS = 500;
+    private static final char PORT_SEPARATOR = ':';
+
+    private final Loop loop;
+    private final PeerTraffic traffic;
+    private final Bootstrap bootstrap;
+    private final Map<String, Connection> connections = new HashMap<>();
+    private long lastCorrelation;
+
+    /** Creates a caller whose connections run on {@code group}. */
+    public NettyPeerNetwork(EventLoopGroup group, Loop loop, PeerTraffic traffic) {
+        this.loop = loop;
+        this.traffic = traffic;
+        this.bootstrap = new Bootstrap()
+                .group(group)
+                .channel(NioSocketChannel.class)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
+                .option(ChannelOption.TCP_NODELAY, true);
+    }
+
+    @Override
+    public CompletableFuture<PeerReply> call(String address, PeerRequest request) {
+        Connection connection = connections.computeIfAbsent(address, this::open);
+        long correlation = ++lastCorrelation;
+        CompletableFuture<PeerReply> reply = new CompletableFuture<>();
+        connection.pending.put(correlation, reply);
+        Loop.Cancellation timer = loop.schedule(
+                CALL_TIMEOUT_MILLIS,
+                () -> reply.completeExceptionally(new PeerUnavailableException(address, "no reply in time")));
+        Futures.onComplete(reply, (_reply, _failure) -> {
+            timer.cancel();
+            connection.pending.remove(correlation);
+        });
+        connection.send(Frame.newBuilder()
+                .setCorrelation(correlation)
+                .setRequest(request)
+                .build());
+        return reply;
+    }
+
+    /** Closes all connections. */
+    public void close() {
+        List.copyOf(connections.values()).forEach(Connection::close);
+    }
+
+    private Connection open(String address) {
+        Connection connection = new Connection(address);
+        int separator = address.lastIndexOf(PORT_SEPARATOR);
+        InetSocketAddress target = new InetSocketAddress(
+                address.substring(0, separator), Integer.parseInt(address.substring(separator + 1)));
+        ChannelFuture connecting = bootstrap
+                .clone()
+                .handler(new FrameChannel(
+                        traffic,
+                        (_channel, frame) -> loop.execute(() -> connection.onReply(frame)),
+                        _channel -> loop.execute(() -> connection.fail("connection closed"))))
+                .connect(target);
+        connecting.addListener(_done -> loop.execute(() -> {
+            if (connecting.isSuccess()) {
+                connection.onConnected(connecting.channel());
+            } else {
+                connection.fail("cannot connect");
+            }
+        }));
+        return connection;
+    }
+
+    private final class Connection {
+        private final String address;
+        private final Map<Long, CompletableFuture<PeerReply>> pending = new HashMap<>();
+        private final List<Frame> unsent = new ArrayList<>();
+        private Channel channel;
+
+        Connection(String address) {
+            this.address = address;
+        }
+
+        void send(Frame frame) {
+            if (channel == null) {
+                unsent.add(frame);
+            } else if (channel.isWritable()) {
+                FrameChannel.send(channel, traffic, frame);
+            }
+        }
+
+        void onConnected(Channel connected) {
+            channel = connected;
+            unsent.forEach(frame -> FrameChannel.send(channel, traffic, frame));
+            unsent.clear();
+        }
+
+        void onReply(Frame frame) {
+            CompletableFuture<PeerReply> reply = pending.get(frame.getCorrelation());
+            if (reply != null) {
+                reply.complete(frame.getReply());
+            }
+        }
+
+        void fail(String reason) {
+            connections.remove(address, this);
+            List.copyOf(pending.values())
+                    .forEach(reply -> reply.completeExceptionally(new PeerUnavailableException(address, reason)));
+        }
+
+        void close() {
+            fail("closed");
+            if (channel != null) {
+                ChannelFuture _closing = channel.close();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/peer/src/main/java/io/heatherloft/peer/ledger/LedgerKeys.java
@@ -0,0 +1,40 @@
+package io.heatherloft.peer.ledger;
+
+/**
+ * Keys of the ledger in the platform's store.
+ *
+ * <p>Invariant: the number of keys of a shard is bounded by its ring of slots and its live segments. Stateless and safe
+ * for use by several threads.
+ */
+public final class LedgerKeys {
+    /** Number of shards; fixed, since it decides which shard knows a request. */
+    public static final int SHARDS = 8;
+
+    /** Slots of a shard's log; a slot is written again once its batch is folded. */
+    public static final int SLOTS = 256;
+
+    private static final String ROOT = "heatherloft/ledger/";
+
+    private LedgerKeys() {}
+
+    /** Returns the shard that a hash belongs to. */
+    public static int shardOf(long hash) {
+        return (int) Long.remainderUnsigned(hash, SHARDS);
+    }
+
+    static String head(int shard) {
+        return ROOT + shard + "/head";
+    }
+
+    static String slots(int shard) {
+        return ROOT + shard + "/slot/";
+    }
+
+    static String slot(int shard, long sequence) {
+        return slots(shard) + sequence % SLOTS;
+    }
+
+    static String segment(int shard, long index) {
+        return ROOT + shard + "/segment/" + index;
+    }
+}
--- /dev/null
+++ b/peer/src/main/java/io/heatherloft/peer/ledger/LedgerLog.java
@@ -0,0 +1,229 @@
+package io.heatherloft.peer.ledger;
+
+import com.google.protobuf.MessageLite;
+import io.heatherloft.domain.Bytes;
+import io.heatherloft.domain.ledger.LedgerRecord;
+import io.heatherloft.domain.ledger.LedgerShard;
+import io.heatherloft.domain.ledger.Retention;
+import io.heatherloft.peer.LedgerCodec;
+import io.heatherloft.peer.generated.LedgerBatch;
+import io.heatherloft.peer.generated.LedgerHead;
+import io.heatherloft.peer.generated.SegmentReference;
+import io.heatherloft.platform.loop.Futures;
+import io.heatherloft.platform.loop.Loop;
+import io.heatherloft.platform.store.KeyValueStore;
+import io.heatherloft.platform.store.SettledWrites;
+import io.heatherloft.platform.store.WriteOutcome;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalLong;
+import java.util.concurrent.CompletableFuture;
+
+/**
+ * The durable log of one shard: a ring of slots for the newest batches, and a head with segments for what is older.
+ *
+ * <p>A batch goes to the slot of its sequence with the slot's revision as the condition. Invariants: of two writers one
+ * wins each sequence, whatever either believes about ownership, because the revision of a slot never returns to an
+ * earlier value; a slot is written again only after the head covers its batch. A caller keeps at most one call in
+ * progress. Confined to the loop's thread.
+ */
+public final class LedgerLog {
+    private static final int FOLD_AFTER_BATCHES = LedgerKeys.SLOTS / 2;
+
+    private final KeyValueStore store;
+    private final SettledWrites writes;
+    private final Loop loop;
+    private final int shard;
+    private final String writer;
+    private final Retention retention;
+    private final Map<String, Long> revisions = new HashMap<>();
+    private final List<LedgerRecord> unfolded = new ArrayList<>();
+    private LedgerHead head = LedgerHead.getDefaultInstance();
+    private long nextSequence = 1;
+    private long writerCounter;
+
+    /** Creates the log of a shard for a writer, whose name is unique to its process. */
+    public LedgerLog(KeyValueStore store, Loop loop, int shard, String writer, Retention retention) {
+        this.store = store;
+        this.writes = new SettledWrites(store, loop);
+        this.loop = loop;
+        this.shard = shard;
+        this.writer = writer;
+        this.retention = retention;
+    }
+
+    /** Reads the whole shard; fails if the store does not answer or changes too fast to be read. */
+    public CompletableFuture<LedgerShard> load() {
+        revisions.clear();
+        unfolded.clear();
+        LedgerShard state = new LedgerShard(retention);
+        return store.get(LedgerKeys.head(shard))
+                .thenCompose(found -> {
+                    found.ifPresent(value -> revisions.put(value.key(), value.revision()));
+                    head = found.map(value -> Messages.parse(LedgerHead.parser(), value.value()))
+                            .orElseGet(LedgerHead::getDefaultInstance);
+                    state.restoreTotals(LedgerSegments.totalsOf(head));
+                    return loadSegments(state, 0);
+                })
+                .thenCompose(_segments -> store.list(LedgerKeys.slots(shard)))
+                .thenApply(listing -> {
+                    replay(state, listing);
+                    state.expire(loop.nowMillis());
+                    return state;
+                });
+    }
+
+    /** Returns the sequence that the next batch will have; higher than any batch seen. */
+    public long nextSequence() {
+        return nextSequence;
+    }
+
+    /** Returns true if {@link #fold} is due before the next batch. */
+    public boolean isFoldDue() {
+        return nextSequence - head.getFoldedTo() > FOLD_AFTER_BATCHES;
+    }
+
+    /** Writes a batch as the next of the log. After any outcome but applied or unavailable, load again. */
+    public CompletableFuture<WriteOutcome> commit(List<LedgerRecord> records) {
+        LedgerBatch batch = LedgerBatch.newBuilder()
+                .setSequence(nextSequence)
+                .setWriter(writer)
+                .setWriterCounter(++writerCounter)
+                .addAllRecords(records.stream().map(LedgerCodec::encode).toList())
+                .build();
+        return put(LedgerKeys.slot(shard, nextSequence), batch).thenApply(outcome -> {
+            if (outcome instanceof WriteOutcome.Applied) {
+                nextSequence++;
+                unfolded.addAll(records);
+            }
+            return outcome;
+        });
+    }
+
+    /** Moves all batches into segments. After any outcome but applied or unavailable, load again. */
+    public CompletableFuture<WriteOutcome> fold(LedgerShard state) {
+        long now = loop.nowMillis();
+        LedgerSegments.Folded folded = LedgerSegments.fold(unfolded, retention, now, writer, ++writerCounter);
+        List<SegmentReference> kept = head.getSegmentsList().stream()
+                .filter(segment -> segment.getExpiresAtMillis() > now)
+                .toList();
+        List<SegmentReference> expired = head.getSegmentsList().stream()
+                .filter(segment -> segment.getExpiresAtMillis() <= now)
+                .toList();
+        LedgerHead.Builder next = LedgerHead.newBuilder()
+                .setFoldedTo(nextSequence - 1)
+                .setWriter(writer)
+                .setWriterCounter(writerCounter)
+                .addAllTotals(LedgerSegments.encodeTotals(state.totals()))
+                .addAllSegments(kept)
+                .setNextSegment(head.getNextSegment());
+        return writeSegments(folded.segments(), next).thenCompose(outcome -> {
+            if (!(outcome instanceof WriteOutcome.Applied)) {
+                return CompletableFuture.completedFuture(outcome);
+            }
+            LedgerHead written = next.build();
+            return put(LedgerKeys.head(shard), written).thenApply(headOutcome -> {
+                if (headOutcome instanceof WriteOutcome.Applied) {
+                    head = written;
+                    unfolded.clear();
+                    expired.forEach(segment -> deleteSegment(segment.getIndex()));
+                }
+                return headOutcome;
+            });
+        });
+    }
+
+    private CompletableFuture<WriteOutcome> writeSegments(
+            List<LedgerSegments.Dated> segments, LedgerHead.Builder next) {
+        CompletableFuture<WriteOutcome> chain =
+                CompletableFuture.completedFuture(new WriteOutcome.Applied(KeyValueStore.ABSENT));
+        for (LedgerSegments.Dated dated : segments) {
+            chain = chain.thenCompose(outcome -> outcome instanceof WriteOutcome.Applied
+                    ? writeSegment(dated, next)
+                    : CompletableFuture.completedFuture(outcome));
+        }
+        return chain;
+    }
+
+    // A segment left behind by a fold that never moved the head occupies its index; the next index is taken then.
+    private CompletableFuture<WriteOutcome> writeSegment(LedgerSegments.Dated dated, LedgerHead.Builder next) {
+        long index = next.getNextSegment();
+        Bytes value = Bytes.copyOf(dated.segment().toByteArray());
+        return writes.put(LedgerKeys.segment(shard, index), value, KeyValueStore.ABSENT, OptionalLong.empty())
+                .thenCompose(outcome -> {
+                    next.setNextSegment(index + 1);
+                    if (outcome instanceof WriteOutcome.Conflict) {
+                        return writeSegment(dated, next);
+                    }
+                    next.addSegments(
+                            SegmentReference.newBuilder().setIndex(index).setExpiresAtMillis(dated.expiresAtMillis()));
+                    return CompletableFuture.completedFuture(outcome);
+                });
+    }
+
+    private void deleteSegment(long index) {
+        String key = LedgerKeys.segment(shard, index);
+        Futures.onResult(
+                store.get(key),
+                found -> found.ifPresent(
+                        value -> Futures.onResult(store.deleteIfRevision(key, value.revision()), _outcome -> {})));
+    }
+
+    private CompletableFuture<WriteOutcome> put(String key, MessageLite message) {
+        long expected = revisions.getOrDefault(key, KeyValueStore.ABSENT);
+        return writes.put(key, Bytes.copyOf(message.toByteArray()), expected, OptionalLong.empty())
+                .thenApply(outcome -> {
+                    if (outcome instanceof WriteOutcome.Applied applied) {
+                        revisions.put(key, applied.revision());
+                    }
+                    return outcome;
+                });
+    }
+
+    private CompletableFuture<Void> loadSegments(LedgerShard state, int from) {
+        if (from >= head.getSegmentsCount()) {
+            return CompletableFuture.completedFuture(null);
+        }
+        SegmentReference reference = head.getSegments(from);
+        return store.get(LedgerKeys.segment(shard, reference.getIndex())).thenCompose(found -> {
+            if (found.isEmpty() && reference.getExpiresAtMillis() > loop.nowMillis()) {
+                throw new LogChangedException("segment " + reference.getIndex() + " is gone");
+            }
+            found.ifPresent(value -> LedgerSegments.restore(state, value.value()));
+            return loadSegments(state, from + 1);
+        });
+    }
+
+    private void replay(LedgerShard state, KeyValueStore.Listing listing) {
+        Map<Long, LedgerBatch> batches = new HashMap<>();
+        listing.values().forEach(value -> {
+            revisions.put(value.key(), value.revision());
+            LedgerBatch batch = Messages.parse(LedgerBatch.parser(), value.value());
+            batches.put(batch.getSequence(), batch);
+        });
+        long newest = batches.keySet().stream().mapToLong(Long::longValue).max().orElse(0);
+        nextSequence = head.getFoldedTo() + 1;
+        while (nextSequence <= newest) {
+            LedgerBatch batch = batches.get(nextSequence);
+            if (batch == null) {
+                throw new LogChangedException("batch " + nextSequence + " was folded while the log was read");
+            }
+            batch.getRecordsList().stream().map(LedgerCodec::decode).forEach(record -> {
+                state.apply(record);
+                unfolded.add(record);
+            });
+            nextSequence++;
+        }
+    }
+
+    /** The log was changed by another writer while it was read; reading it again will do. */
+    static final class LogChangedException extends RuntimeException {
+        private static final long serialVersionUID = 1L;
+
+        LogChangedException(String message) {
+            super(message);
+        }
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/io/heatherloft/standins/MemoryStore.java
@@ -0,0 +1,133 @@
+package io.heatherloft.standins;
+
+import io.heatherloft.domain.Bytes;
+import io.heatherloft.platform.store.StoreValue;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+
+/**
+ * The state of a key-value service with revisions, leases and watches, without any transport.
+ *
+ * <p>Invariant: the revision grows by one with each write that takes effect. Confined to one thread.
+ */
+public final class MemoryStore {
+    private final TreeMap<String, Entry> entries = new TreeMap<>();
+    private final Map<Long, Lease> leases = new HashMap<>();
+    private final List<StoreValue> history = new ArrayList<>();
+    private final Set<Watcher> watchers = new HashSet<>();
+    private long revision = 1;
+    private long lastLease;
+
+    /** Returns the revision of the last write. */
+    public long revision() {
+        return revision;
+    }
+
+    /** Reads a key. */
+    public Optional<StoreValue> get(String key) {
+        return Optional.ofNullable(entries.get(key)).map(entry -> new StoreValue(key, entry.value(), entry.revision()));
+    }
+
+    /** Reads the keys from {@code from} (inclusive) to {@code end} (exclusive). */
+    public List<StoreValue> range(String from, String end) {
+        return entries.subMap(from, end).entrySet().stream()
+                .map(entry -> new StoreValue(
+                        entry.getKey(),
+                        entry.getValue().value(),
+                        entry.getValue().revision()))
+                .toList();
+    }
+
+    /** Writes a key if its revision is the expected one, 0 meaning absent; returns true if it took effect. */
+    public boolean put(String key, Bytes value, long expectedRevision, OptionalLong lease) {
+        if (revisionOf(key) != expectedRevision || (lease.isPresent() && !leases.containsKey(lease.getAsLong()))) {
+            return false;
+        }
+        revision++;
+        entries.put(key, new Entry(value, revision, lease));
+        StoreValue written = new StoreValue(key, value, revision);
+        history.add(written);
+        List.copyOf(watchers).stream()
+                .filter(watcher -> key.compareTo(watcher.from()) >= 0 && key.compareTo(watcher.end()) < 0)
+                .forEach(watcher -> watcher.listener().accept(written));
+        return true;
+    }
+
+    /** Deletes a key if its revision is the expected one; returns true if it took effect. */
+    public boolean delete(String key, long expectedRevision) {
+        if (revisionOf(key) != expectedRevision || expectedRevision == 0) {
+            return false;
+        }
+        revision++;
+        entries.remove(key);
+        return true;
+    }
+
+    /** Starts a lease. */
+    public long grantLease(long nowMillis, long ttlMillis) {
+        lastLease++;
+        leases.put(lastLease, new Lease(nowMillis + ttlMillis, ttlMillis));
+        return lastLease;
+    }
+
+    /** Renews a lease; returns its time to live, or 0 if it has lapsed. */
+    public long keepAlive(long lease, long nowMillis) {
+        Lease renewed = leases.computeIfPresent(
+                lease, (_id, known) -> new Lease(nowMillis + known.ttlMillis(), known.ttlMillis()));
+        return renewed == null ? 0 : renewed.ttlMillis();
+    }
+
+    /** Ends a lease and deletes its keys. */
+    public void revoke(long lease) {
+        leases.remove(lease);
+        List<String> owned = entries.entrySet().stream()
+                .filter(entry -> entry.getValue().lease().equals(OptionalLong.of(lease)))
+                .map(Map.Entry::getKey)
+                .toList();
+        owned.forEach(key -> delete(key, revisionOf(key)));
+    }
+
+    /** Ends the leases whose time is over. */
+    public void expireLeases(long nowMillis) {
+        leases.entrySet().stream()
+                .filter(entry -> entry.getValue().expiresAtMillis() <= nowMillis)
+                .map(Map.Entry::getKey)
+                .toList()
+                .forEach(this::revoke);
+    }
+
+    /** Reports writes of keys in a range, from a revision on; returns what stops it. */
+    public Runnable watch(String from, String end, long fromRevision, Consumer<StoreValue> listener) {
+        Watcher watcher = new Watcher(from, end, listener);
+        history.stream()
+                .filter(value -> value.revision() >= fromRevision)
+                .filter(value -> value.key().compareTo(from) >= 0 && value.key().compareTo(end) < 0)
+                .toList()
+                .forEach(listener);
+        watchers.add(watcher);
+        return () -> watchers.remove(watcher);
+    }
+
+    /** Returns the number of keys. */
+    public int size() {
+        return entries.size();
+    }
+
+    private long revisionOf(String key) {
+        return Optional.ofNullable(entries.get(key)).map(Entry::revision).orElse(0L);
+    }
+
+    private record Entry(Bytes value, long revision, OptionalLong lease) {}
+
+    private record Lease(long expiresAtMillis, long ttlMillis) {}
+
+    private record Watcher(String from, String end, Consumer<StoreValue> listener) {}
+}
--- /dev/null
+++ b/standins/src/main/java/io/heatherloft/standins/RatingStandIn.java
@@ -0,0 +1,35 @@
+package io.heatherloft.standins;
+
+import io.activej.http.AsyncServlet;
+import io.activej.http.HttpRequest;
+import io.activej.http.HttpResponse;
+import io.activej.promise.Promise;
+import io.heatherloft.platform.http.JsonHttp;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/**
+ * The answer-rating service: reads the quality that the engine stand-in wrote into its answer.
+ *
+ * <p>Confined to the event loop's thread.
+ */
+public final class RatingStandIn implements AsyncServlet {
+    private static final Pattern QUALITY = Pattern.compile("quality=([01]\\.\\d+)");
+
+    private int ratings;
+
+    /** Returns the number of ratings given. */
+    public int ratings() {
+        return ratings;
+    }
+
+    @Override
+    public Promise<HttpResponse> serve(HttpRequest request) {
+        return StandInServer.readJson(request).map(body -> {
+            ratings++;
+            Matcher matcher = QUALITY.matcher(body.path("answer").asText());
+            double score = matcher.find() ? Double.parseDouble(matcher.group(1)) : 0.0;
+            return StandInServer.json(JsonHttp.MAPPER.createObjectNode().put("score", score));
+        });
+    }
+}
