--- /dev/null
+++ b/daemon/src/test/java/io/heatherloft/daemon/fakes/FakeConfiguration.java
@@ -0,0 +1,90 @@
+package io.heatherloft.daemon.fakes;
+
+/** A small configuration whose parts that tests care about can be set. */
+public final class FakeConfiguration {
+    private boolean firstWithdrawn;
+    private boolean secondAllowed = true;
+    private int sharePercent = 50;
+    private String withdrawnSession = "refuse";
+    private int maxInFlight = 64;
+    private int maxQueued = 64;
+    private int perServer = 16;
+
+    public FakeConfiguration withdrawFirst() {
+        firstWithdrawn = true;
+        return this;
+    }
+
+    public FakeConfiguration forbidSecond() {
+        secondAllowed = false;
+        return this;
+    }
+
+    public FakeConfiguration sharePercent(int changed) {
+        sharePercent = changed;
+        return this;
+    }
+
+    public FakeConfiguration moveWithdrawnSessions() {
+        withdrawnSession = "successor";
+        return this;
+    }
+
+    public FakeConfiguration limits(int inFlight, int queued, int onEachServer) {
+        maxInFlight = inFlight;
+        maxQueued = queued;
+        perServer = onEachServer;
+        return this;
+    }
+
+    public boolean isFirstWithdrawn() {
+        return firstWithdrawn;
+    }
+
+    public boolean isSecondAllowed() {
+        return secondAllowed;
+    }
+
+    public String toYaml() {
+        return """
+                pools:
+                  - {name: small-pool, max-in-flight-per-server: %d}
+                  - {name: large-pool, max-in-flight-per-server: %d}
+                  - {name: booking-pool}
+                services:
+                  - {name: booking, pool: booking-pool, price-micros-per-call: 5, timeout-millis: 3000}
+                models:
+                  - name: small
+                    versions:
+                      - {name: "1", pool: small-pool, state: %s, successor: "2", output-micros-per-thousand-tokens: 1000}
+                      - {name: "2", pool: small-pool, output-micros-per-thousand-tokens: 1000}
+                  - name: large
+                    versions:
+                      - {name: "1", pool: large-pool, output-micros-per-thousand-tokens: 9000}
+                cascades:
+                  - {name: climb, steps: [small, large], quality-target: 0.95}
+                rollouts:
+                  - {model: small, from: "1", to: "2", share-percent: %d}
+                workspaces:
+                  - name: club
+                    key-digests: [%s]
+                    models:
+                      - {model: small, versions: [%s]}
+                      - {model: large}
+                    classes: {summary: climb}
+                    services: [booking]
+                    withdrawn-session: %s
+                    limits: {max-in-flight: %d, max-queued: %d}
+                """
+                .formatted(
+                        perServer,
+                        perServer,
+                        firstWithdrawn ? "withdrawn" : "active",
+                        sharePercent,
+                        FakeFleet.keyDigest(),
+                        secondAllowed ? "\"1\", \"2\"" : "\"1\"",
+                        withdrawnSession,
+                        maxInFlight,
+                        maxQueued);
+    }
+}
--- /dev/null
+++ b/daemon/src/test/java/io/heatherloft/daemon/fakes/Schedule.java
@@ -0,0 +1,102 @@
+package io.heatherloft.daemon.fakes;
+
+import io.heatherloft.platform.loop.Loop;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.PriorityQueue;
+
+/** Virtual time shared by the loops of several hosts; tasks run one at a time, in order of time and submission. */
+public final class Schedule {
+    private final PriorityQueue<Task> tasks =
+            new PriorityQueue<>(Comparator.comparingLong(Task::atMillis).thenComparingLong(Task::number));
+    private long nowMillis;
+    private long lastNumber;
+
+    public Schedule(long startMillis) {
+        nowMillis = startMillis;
+    }
+
+    public long nowMillis() {
+        return nowMillis;
+    }
+
+    /** Runs everything due in the next milliseconds. */
+    public void advance(long millis) {
+        long end = nowMillis + millis;
+        while (!tasks.isEmpty() && tasks.peek().atMillis() <= end) {
+            Task task = tasks.poll();
+            nowMillis = Math.max(nowMillis, task.atMillis());
+            task.loop().run(task);
+        }
+        nowMillis = end;
+    }
+
+    public HostLoop newLoop() {
+        return new HostLoop();
+    }
+
+    private record Task(long atMillis, long number, HostLoop loop, Runnable action) {}
+
+    /** The loop of one host, which can be paused and killed. */
+    public final class HostLoop implements Loop {
+        private final List<Task> deferred = new ArrayList<>();
+        private boolean paused;
+        private boolean dead;
+
+        @Override
+        public long nowMillis() {
+            return nowMillis;
+        }
+
+        @Override
+        public void execute(Runnable task) {
+            schedule(0, task);
+        }
+
+        @Override
+        public Cancellation schedule(long delayMillis, Runnable action) {
+            boolean[] cancelled = new boolean[1];
+            long at = delayMillis > Integer.MAX_VALUE ? Long.MAX_VALUE : nowMillis + delayMillis;
+            tasks.add(new Task(at, ++lastNumber, this, () -> {
+                if (!cancelled[0]) {
+                    action.run();
+                }
+            }));
+            return () -> cancelled[0] = true;
+        }
+
+        public void pause() {
+            paused = true;
+        }
+
+        public void resume() {
+            paused = false;
+            deferred.forEach(task -> tasks.add(new Task(nowMillis, task.number(), this, task.action())));
+            deferred.clear();
+        }
+
+        public void kill() {
+            dead = true;
+        }
+
+        public boolean isDead() {
+            return dead;
+        }
+
+        public boolean isPaused() {
+            return paused;
+        }
+
+        private void run(Task task) {
+            if (dead) {
+                return;
+            }
+            if (paused) {
+                deferred.add(task);
+            } else {
+                task.action().run();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/test/java/io/heatherloft/daemon/fakes/WrittenLedger.java
@@ -0,0 +1,52 @@
+package io.heatherloft.daemon.fakes;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import io.heatherloft.domain.ledger.LedgerRecord;
+import io.heatherloft.peer.LedgerCodec;
+import io.heatherloft.peer.generated.LedgerBatch;
+import io.heatherloft.platform.store.StoreValue;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.stream.Collectors;
+
+/** Every record that became durable, in order, as seen at the store. */
+public final class WrittenLedger {
+    private final List<LedgerRecord> records = new ArrayList<>();
+
+    public WrittenLedger(FakeStore store) {
+        store.onWrite(this::observe);
+    }
+
+    public List<LedgerRecord> records() {
+        return records;
+    }
+
+    /** Returns how often each request was billed, by the id its caller gave it. */
+    public Map<String, Long> billsByRequest() {
+        return records.stream()
+                .filter(LedgerRecord.Settlement.class::isInstance)
+                .map(LedgerRecord.Settlement.class::cast)
+                .collect(Collectors.groupingBy(
+                        settlement -> requestId(settlement.key().requestId()), Collectors.counting()));
+    }
+
+    private static String requestId(String keyId) {
+        return keyId.startsWith("booking:")
+                ? keyId.substring("booking:".length())
+                : keyId.substring(0, keyId.indexOf(':'));
+    }
+
+    private void observe(StoreValue value) {
+        if (!value.key().contains("/slot/")) {
+            return;
+        }
+        try {
+            LedgerBatch.parseFrom(value.value().toArray()).getRecordsList().stream()
+                    .map(LedgerCodec::decode)
+                    .forEach(records::add);
+        } catch (InvalidProtocolBufferException exception) {
+            throw new IllegalStateException(exception);
+        }
+    }
+}
