--- a/daemon/src/main/java/io/heatherloft/daemon/HostCore.java
+++ b/daemon/src/main/java/io/heatherloft/daemon/HostCore.java
@@ -3,6 +3,7 @@
 import com.codahale.metrics.MetricRegistry;
 import io.heatherloft.daemon.backend.BackendDirectory;
 import io.heatherloft.daemon.backend.OrderGiver;
+import io.heatherloft.daemon.backend.TrialArbiter;
 import io.heatherloft.daemon.fleet.ConfigurationKeeper;
 import io.heatherloft.daemon.fleet.FleetState;
 import io.heatherloft.daemon.fleet.Gossiper;
@@ -28,6 +29,8 @@
     private static final double RETRIES_PER_SUCCESS = 0.1;
     private static final double RETRY_ALLOWANCE = 50;
     private static final long DRAIN_CHECK_MILLIS = 25L;
+    private static final long LAST_ANSWERS_MILLIS = 3_000L;
+    private static final long FLUSH_MILLIS = 10_000L;
 
     private final Ports ports;
     private final Counters counters;
@@ -51,10 +54,12 @@
         this.backends = new BackendDirectory(ports, fleet, counters);
         this.ledger = new LedgerService(ports, fleet, gossiper, counters);
         this.orderGiver = new OrderGiver(ports, fleet, counters);
+        TrialArbiter trials = new TrialArbiter(ports.loop(), fleet, gossiper);
         RequestServices services = new RequestServices(
                 ports,
                 fleet,
                 backends,
+                trials,
                 ledger,
                 new SessionBinder(ports, fleet, ledger, counters),
                 new CascadePlanner(),
@@ -62,7 +67,7 @@
                 new RetryBudget(RETRIES_PER_SUCCESS, RETRY_ALLOWANCE),
                 counters);
         this.requests = new RequestService(services, explanations);
-        this.peerHandler = new PeerHandler(gossiper, keeper, ledger, explanations);
+        this.peerHandler = new PeerHandler(gossiper, keeper, ledger, trials, explanations);
     }
 
     /** Starts the host's duties. */
@@ -70,6 +75,7 @@
         backends.start();
         gossiper.start();
         keeper.start();
+        ledger.start();
         orderGiver.start();
     }
 
@@ -88,6 +94,7 @@
         CompletableFuture<Void> stopped = new CompletableFuture<>();
         ports.loop().schedule(balancerNoticeMillis, () -> {
             requests.stopAccepting();
+            ledger.stopHolding();
             long giveUpAtMillis = ports.loop().nowMillis() + drainMillis;
             awaitDrain(giveUpAtMillis, stopped);
         });
@@ -135,20 +142,42 @@
     }
 
     private void awaitDrain(long giveUpAtMillis, CompletableFuture<Void> stopped) {
-        boolean drained = requests.inProgress() == 0;
-        if (!drained && ports.loop().nowMillis() < giveUpAtMillis) {
+        if (requests.inProgress() == 0) {
+            flushAndLeave(stopped);
+        } else if (ports.loop().nowMillis() < giveUpAtMillis) {
             ports.loop().schedule(DRAIN_CHECK_MILLIS, () -> awaitDrain(giveUpAtMillis, stopped));
-            return;
+        } else {
+            backends.close();
+            awaitLastAnswers(ports.loop().nowMillis() + LAST_ANSWERS_MILLIS, stopped);
         }
-        long flushMillis =
-                Math.max(DRAIN_CHECK_MILLIS, giveUpAtMillis - ports.loop().nowMillis());
-        CompletableFuture<Void> flushed = Futures.withTimeout(ledger.flush(), ports.loop(), flushMillis);
-        Futures.onComplete(flushed, (_nothing, _failure) -> {
-            keeper.stop();
-            orderGiver.stop();
-            gossiper.leave();
-            ledger.handOver();
-            stopped.complete(null);
+    }
+
+    private void awaitLastAnswers(long giveUpAtMillis, CompletableFuture<Void> stopped) {
+        if (requests.inProgress() == 0 || ports.loop().nowMillis() >= giveUpAtMillis) {
+            flushAndLeave(stopped);
+        } else {
+            ports.loop().schedule(DRAIN_CHECK_MILLIS, () -> awaitLastAnswers(giveUpAtMillis, stopped));
+        }
+    }
+
+    private void flushAndLeave(CompletableFuture<Void> stopped) {
+        CompletableFuture<Void> flushed = Futures.withTimeout(ledger.flush(), ports.loop(), FLUSH_MILLIS);
+        Futures.onComplete(flushed, (_nothing, failure) -> {
+            if (failure == null) {
+                leave(stopped);
+            } else {
+                CompletableFuture<Void> given =
+                        Futures.withTimeout(ledger.giveRecordsAway(), ports.loop(), FLUSH_MILLIS);
+                Futures.onComplete(given, (_given, _failure) -> leave(stopped));
+            }
         });
     }
+
+    private void leave(CompletableFuture<Void> stopped) {
+        keeper.stop();
+        orderGiver.stop();
+        gossiper.leave();
+        ledger.handOver();
+        stopped.complete(null);
+    }
 }
--- a/daemon/src/main/java/io/heatherloft/daemon/PeerHandler.java
+++ b/daemon/src/main/java/io/heatherloft/daemon/PeerHandler.java
@@ -1,11 +1,13 @@
 package io.heatherloft.daemon;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import io.heatherloft.daemon.backend.TrialArbiter;
 import io.heatherloft.daemon.fleet.ConfigurationKeeper;
 import io.heatherloft.daemon.fleet.Gossiper;
 import io.heatherloft.daemon.ledger.LedgerService;
 import io.heatherloft.daemon.request.Explanation;
 import io.heatherloft.daemon.request.ExplanationStore;
+import io.heatherloft.peer.MembershipCodec;
 import io.heatherloft.peer.PeerNetwork;
 import io.heatherloft.peer.generated.ExplainAnswer;
 import io.heatherloft.peer.generated.PeerReply;
@@ -20,12 +22,19 @@
     private final Gossiper gossiper;
     private final ConfigurationKeeper keeper;
     private final LedgerService ledger;
+    private final TrialArbiter trials;
     private final ExplanationStore explanations;
 
-    PeerHandler(Gossiper gossiper, ConfigurationKeeper keeper, LedgerService ledger, ExplanationStore explanations) {
+    PeerHandler(
+            Gossiper gossiper,
+            ConfigurationKeeper keeper,
+            LedgerService ledger,
+            TrialArbiter trials,
+            ExplanationStore explanations) {
         this.gossiper = gossiper;
         this.keeper = keeper;
         this.ledger = ledger;
+        this.trials = trials;
         this.explanations = explanations;
     }
 
@@ -41,9 +50,12 @@
         return switch (request.getBodyCase()) {
             case PROBE_THROUGH -> gossiper.probeFor(request.getProbeThrough());
             case LEDGER -> ledger.answer(request.getLedger());
-            case HOLD -> CompletableFuture.completedFuture(ledger.answer(request.getHold()));
+            case HOLD -> CompletableFuture.completedFuture(ledger.answer(
+                    request.getHold(),
+                    MembershipCodec.decode(request.getGossip().getSelf())));
             case FETCH_CONFIGURATION -> CompletableFuture.completedFuture(
                     keeper.answer(request.getFetchConfiguration()));
+            case RESERVE -> CompletableFuture.completedFuture(trials.answer(request.getReserve()));
             case EXPLAIN -> CompletableFuture.completedFuture(
                     explain(request.getExplain().getRequestId()));
             case PROBE, RATING, BODY_NOT_SET -> CompletableFuture.completedFuture(Gossiper.acknowledge(true));
--- a/daemon/src/main/java/io/heatherloft/daemon/backend/BackendDirectory.java
+++ b/daemon/src/main/java/io/heatherloft/daemon/backend/BackendDirectory.java
@@ -32,12 +32,15 @@
     private static final int CORRELATED_LOSSES = 3;
     private static final long CORRELATION_MILLIS = 2_000L;
 
+    private static final long CLOSED_RETRY_MILLIS = 1_000L;
+
     private final Ports ports;
     private final FleetState fleet;
     private final Counters counters;
     private final Map<String, BackendState> states = new HashMap<>();
     private final Map<String, PoolQueue> queues = new HashMap<>();
     private final ArrayDeque<Loss> recentLosses = new ArrayDeque<>();
+    private boolean closed;
 
     /** Creates an empty directory. */
     public BackendDirectory(Ports ports, FleetState fleet, Counters counters) {
@@ -54,9 +57,19 @@
 
     /** Asks for a place; fails with {@link NoCapacityException}. */
     public CompletableFuture<Slot> acquire(SlotRequest request) {
+        if (closed) {
+            return CompletableFuture.failedFuture(
+                    new NoCapacityException(NoCapacityException.Reason.NO_BACKEND, CLOSED_RETRY_MILLIS));
+        }
         return queues.computeIfAbsent(request.pool(), this::newQueue).acquire(request);
     }
 
+    /** Gives no more places and refuses all who wait, so that a stopping host leaves nobody without an answer. */
+    public void close() {
+        closed = true;
+        List.copyOf(queues.values()).forEach(PoolQueue::refuseWaiting);
+    }
+
     /** Returns the backend servers of a pool that may be given work. */
     public List<BackendServer> usableServers(String pool) {
         return usableStates(pool).stream().map(BackendState::server).toList();
--- a/daemon/src/main/java/io/heatherloft/daemon/backend/PoolQueue.java
+++ b/daemon/src/main/java/io/heatherloft/daemon/backend/PoolQueue.java
@@ -5,6 +5,7 @@
 import io.heatherloft.domain.admission.WaitEstimator;
 import io.heatherloft.domain.routing.Placement;
 import io.heatherloft.platform.loop.Loop;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -83,6 +84,18 @@
         }
     }
 
+    /** Refuses all who wait. */
+    void refuseWaiting() {
+        List<Waiter> waiting = new ArrayList<>();
+        Optional<Waiter> next = queue.poll(_waiter -> true);
+        while (next.isPresent()) {
+            waiting.add(next.get());
+            next = queue.poll(_waiter -> true);
+        }
+        waiting.forEach(
+                waiter -> waiter.slot().completeExceptionally(noCapacity(NoCapacityException.Reason.NO_BACKEND)));
+    }
+
     private Optional<Placed> nextPlaced() {
         if (queue.size() == 0) {
             return Optional.empty();
--- a/daemon/src/main/java/io/heatherloft/daemon/backend/Slot.java
+++ b/daemon/src/main/java/io/heatherloft/daemon/backend/Slot.java
@@ -11,6 +11,7 @@
     private final BackendState state;
     private final boolean alone;
     private final Runnable onGivenBack;
+    private Runnable lastAction = () -> {};
     private boolean givenBack;
 
     Slot(BackendState state, boolean alone, Runnable onGivenBack) {
@@ -40,11 +41,17 @@
         state.recordLoss(nowMillis);
     }
 
+    /** Runs an action when the place is given back. */
+    public void onGivenBack(Runnable action) {
+        lastAction = action;
+    }
+
     /** Gives the place back; further calls do nothing. */
     public void giveBack() {
         if (!givenBack) {
             givenBack = true;
             state.giveBack(alone);
+            lastAction.run();
             onGivenBack.run();
         }
     }
--- a/daemon/src/main/java/io/heatherloft/daemon/ledger/LedgerService.java
+++ b/daemon/src/main/java/io/heatherloft/daemon/ledger/LedgerService.java
@@ -21,10 +21,14 @@
 import io.heatherloft.platform.loop.Loop;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.stream.Collectors;
 
 /**
  * The ledger as the requests of one host see it: brings each record to the owner of its shard, wherever that is.
@@ -36,6 +40,8 @@
     private static final long FIRST_RETRY_MILLIS = 25L;
     private static final long LONGEST_RETRY_MILLIS = 1_000L;
     private static final long DURABLE_PATIENCE_MILLIS = 400L;
+    private static final long COPY_CHECK_MILLIS = 1_000L;
+    private static final int COPIES = 2;
     private static final int OUTBOX_CAPACITY = 50_000;
 
     private final Ports ports;
@@ -44,6 +50,8 @@
     private final Counters counters;
     private final Map<Integer, ShardOwner> owners = new HashMap<>();
     private final Map<Integer, ShardSender> senders = new HashMap<>();
+    private boolean stopping;
+    private final Map<LedgerRecord, Set<String>> copies = new LinkedHashMap<>();
 
     /** Creates the service of a host. */
     public LedgerService(Ports ports, FleetState fleet, Gossiper gossiper, Counters counters) {
@@ -77,7 +85,10 @@
             return CompletableFuture.completedFuture(false);
         }
         CompletableFuture<Boolean> safe = new CompletableFuture<>();
-        Futures.onResult(sender(record).add(record), _durable -> safe.complete(true));
+        Futures.onResult(sender(record).add(record), _durable -> {
+            copies.remove(record);
+            safe.complete(true);
+        });
         ports.loop().schedule(DURABLE_PATIENCE_MILLIS, () -> holdElsewhere(record, safe));
         return safe;
     }
@@ -92,6 +103,13 @@
         return senders.values().stream().mapToInt(ShardSender::size).sum();
     }
 
+    /** Returns the records that are only in memory yet. */
+    public List<LedgerRecord> recordsNotDurable() {
+        return senders.values().stream()
+                .flatMap(sender -> sender.records().stream())
+                .toList();
+    }
+
     /** Returns the shards that this host has read, for inspection. */
     public Collection<Integer> ownedShards() {
         return owners.entrySet().stream()
@@ -118,16 +136,27 @@
     }
 
     /** Holds a record for a host of another availability zone. */
-    public PeerReply answer(HoldRecord hold) {
+    public PeerReply answer(HoldRecord hold, Member sender) {
         LedgerRecord record = LedgerCodec.decode(hold.getRecord());
-        if (isFull()) {
+        if (isFull() || stopping) {
             return Gossiper.acknowledge(false);
         }
         counters.count("ledger.held-for-peers");
-        Futures.onResult(sender(record).add(record), _durable -> {});
+        copies.computeIfAbsent(record, _record -> new HashSet<>()).add(sender.incarnationName());
+        Futures.onResult(sender(record).add(record), _durable -> copies.remove(record));
         return Gossiper.acknowledge(true);
     }
 
+    /** Starts to watch over the copies of records that are not durable. */
+    public void start() {
+        ports.loop().repeat(COPY_CHECK_MILLIS, this::replaceLostCopies);
+    }
+
+    /** Takes no more records of other hosts, since this one stops. */
+    public void stopHolding() {
+        stopping = true;
+    }
+
     /** Completes when every accepted record is durable. */
     public CompletableFuture<Void> flush() {
         CompletableFuture<Void> flushed = new CompletableFuture<>();
@@ -135,6 +164,18 @@
         return flushed;
     }
 
+    /** Gives each record that is not durable to another host; completes when all are taken. */
+    public CompletableFuture<Void> giveRecordsAway() {
+        CompletableFuture<?>[] taken = recordsNotDurable().stream()
+                .map(record -> {
+                    CompletableFuture<Boolean> safe = new CompletableFuture<>();
+                    holdElsewhere(record, safe);
+                    return safe;
+                })
+                .toArray(CompletableFuture<?>[]::new);
+        return CompletableFuture.allOf(taken);
+    }
+
     /** Gives up the shards of this host; records still waiting go to the next owners. */
     public void handOver() {
         owners.values().forEach(ShardOwner::abandon);
@@ -185,11 +226,23 @@
         return gossiper.call(owner.address(), request).thenApply(reply -> LedgerCodec.decode(reply.getLedger()));
     }
 
+    // A record in memory has copies on other hosts; when one of these is lost another takes its place.
+    private void replaceLostCopies() {
+        Set<String> living =
+                fleet.members().peers().stream().map(Member::incarnationName).collect(Collectors.toSet());
+        copies.values().forEach(holders -> holders.retainAll(living));
+        List<LedgerRecord> lacking = copies.entrySet().stream()
+                .filter(entry -> entry.getValue().size() < Math.min(COPIES, living.size()))
+                .map(Map.Entry::getKey)
+                .toList();
+        lacking.forEach(record -> holdElsewhere(record, new CompletableFuture<>()));
+    }
+
     private void holdElsewhere(LedgerRecord record, CompletableFuture<Boolean> safe) {
-        if (safe.isDone()) {
+        if (safe.isDone() || !sender(record).contains(record)) {
             return;
         }
-        Optional<Member> holder = chooseHolder();
+        Optional<Member> holder = chooseHolder(record);
         if (holder.isEmpty()) {
             ports.loop().schedule(DURABLE_PATIENCE_MILLIS, () -> holdElsewhere(record, safe));
             return;
@@ -199,6 +252,7 @@
         Futures.onComplete(gossiper.call(holder.get().address(), request), (reply, failure) -> {
             if (failure == null && reply.getAcknowledgement().getAccepted()) {
                 counters.count("ledger.held-by-peers");
+                recordCopy(record, holder.get());
                 safe.complete(true);
             } else {
                 ports.loop().schedule(DURABLE_PATIENCE_MILLIS, () -> holdElsewhere(record, safe));
@@ -206,10 +260,21 @@
         });
     }
 
-    private Optional<Member> chooseHolder() {
+    private void recordCopy(LedgerRecord record, Member holder) {
+        if (sender(record).contains(record)) {
+            copies.computeIfAbsent(record, _record -> new HashSet<>()).add(holder.incarnationName());
+        }
+    }
+
+    private Optional<Member> chooseHolder(LedgerRecord record) {
         String ownZone = fleet.members().self().availabilityZone();
-        List<Member> peers = fleet.members()
-                .randomAlive(Integer.MAX_VALUE, fleet.members().self().id());
+        Set<String> holders = copies.getOrDefault(record, Set.of());
+        List<Member> peers = fleet
+                .members()
+                .randomAlive(Integer.MAX_VALUE, fleet.members().self().id())
+                .stream()
+                .filter(member -> !holders.contains(member.incarnationName()))
+                .toList();
         return peers.stream()
                 .filter(member -> !member.availabilityZone().equals(ownZone))
                 .findFirst()
--- a/daemon/src/main/java/io/heatherloft/daemon/ledger/ShardOwner.java
+++ b/daemon/src/main/java/io/heatherloft/daemon/ledger/ShardOwner.java
@@ -1,17 +1,14 @@
 package io.heatherloft.daemon.ledger;
 
 import io.heatherloft.daemon.Counters;
-import io.heatherloft.domain.configuration.VersionReference;
 import io.heatherloft.domain.ledger.LedgerRecord;
 import io.heatherloft.domain.ledger.LedgerReply;
 import io.heatherloft.domain.ledger.LedgerShard;
-import io.heatherloft.domain.ledger.SessionKey;
 import io.heatherloft.peer.ledger.LedgerLog;
 import io.heatherloft.platform.loop.Futures;
 import io.heatherloft.platform.loop.Loop;
 import io.heatherloft.platform.store.WriteOutcome;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
@@ -42,10 +39,10 @@
     private final Counters counters;
     private final LongConsumer onStarted;
     private final LinkedHashMap<LedgerRecord, Submission> pending = new LinkedHashMap<>();
-    private final Map<SessionKey, VersionReference> provisionalPins = new HashMap<>();
     private LedgerShard state;
     private boolean busy;
     private boolean storeDown;
+    private boolean abandoned;
     private long nextTryMillis;
     private long lastCommitMillis;
     private long lastExpiryMillis;
@@ -64,16 +61,15 @@
         if (earlier != null) {
             return earlier.reply();
         }
-        boolean waiting = storeDown && loop.nowMillis() < nextTryMillis;
-        if (pending.size() >= MAX_PENDING || (waiting && !canAnswerWithoutStore(record))) {
-            counters.count("ledger.refused");
-            return CompletableFuture.completedFuture(new LedgerReply.Unavailable("the store does not answer"));
+        if (abandoned) {
+            return CompletableFuture.completedFuture(new LedgerReply.Unavailable("the owner stops"));
+        }
+        boolean pausing = storeDown && loop.nowMillis() < nextTryMillis;
+        if (pausing || pending.size() >= MAX_PENDING) {
+            return CompletableFuture.completedFuture(answerWithoutStore(record));
         }
         Submission submission = new Submission(record, new CompletableFuture<>());
         pending.put(record, submission);
-        if (waiting) {
-            answerWithoutStore(submission);
-        }
         proceed();
         return submission.reply();
     }
@@ -90,13 +86,15 @@
 
     /** Gives up all waiting records; their senders will find the next owner. */
     void abandon() {
-        pending.values().forEach(Submission::refuse);
+        abandoned = true;
+        List<Submission> unanswered = List.copyOf(pending.values());
         pending.clear();
         state = null;
+        unanswered.forEach(Submission::refuse);
     }
 
     private void proceed() {
-        if (busy || pending.isEmpty()) {
+        if (busy || abandoned || pending.isEmpty()) {
             return;
         }
         if (state == null) {
@@ -127,35 +125,46 @@
     private void commitSoon() {
         busy = true;
         long wait = Math.max(0, lastCommitMillis + COMMIT_INTERVAL_MILLIS - loop.nowMillis());
-        loop.schedule(wait, () -> {
-            busy = false;
-            commit();
-        });
+        loop.schedule(wait, this::commit);
     }
 
+    // Stays busy until the batch is on its way: an answer given here may lead to a new record at once, and a second
+    // call on the log beside the first would be judged by a state that the first is about to change.
     private void commit() {
-        if (state == null) {
-            proceed();
+        if (abandoned) {
             return;
         }
         expireSometimes();
-        List<Submission> batch = takeBatch();
-        if (batch.isEmpty()) {
-            proceed();
-            return;
+        Batch batch = takeBatch();
+        if (batch.appended().isEmpty()) {
+            busy = false;
+        } else {
+            lastCommitMillis = loop.nowMillis();
+            counters.count("ledger.commits");
+            List<LedgerRecord> records =
+                    batch.appended().stream().map(Submission::record).toList();
+            run(log.commit(records), batch.appended());
         }
-        lastCommitMillis = loop.nowMillis();
-        counters.count("ledger.commits");
-        run(log.commit(batch.stream().map(Submission::record).toList()), batch);
+        batch.known().forEach((submission, reply) -> submission.reply().complete(reply));
+        proceed();
     }
 
     private void run(CompletableFuture<WriteOutcome> write, List<Submission> batch) {
         busy = true;
         Futures.onComplete(write, (outcome, failure) -> {
             busy = false;
+            if (abandoned) {
+                batch.forEach(Submission::refuse);
+                return;
+            }
             if (outcome instanceof WriteOutcome.Applied) {
                 storeAnswered();
-                batch.forEach(submission -> submission.reply().complete(state.apply(submission.record())));
+                List<LedgerReply> replies = batch.stream()
+                        .map(submission -> state.apply(submission.record()))
+                        .toList();
+                for (int index = 0; index < replies.size(); index++) {
+                    batch.get(index).reply().complete(replies.get(index));
+                }
                 proceed();
                 return;
             }
@@ -164,7 +173,7 @@
                 state = null;
             }
             if (outcome instanceof WriteOutcome.Conflict) {
-                batch.forEach(submission -> pending.putIfAbsent(submission.record(), submission));
+                batch.forEach(this::requeue);
                 proceed();
             } else {
                 retryLater(batch);
@@ -173,8 +182,9 @@
     }
 
     // Records that name the same request wait for the next batch, so that each is judged after the one before it.
-    private List<Submission> takeBatch() {
+    private Batch takeBatch() {
         List<Submission> batch = new ArrayList<>();
+        Map<Submission, LedgerReply> known = new LinkedHashMap<>();
         Set<String> keys = new HashSet<>();
         for (Iterator<Submission> iterator = pending.values().iterator();
                 iterator.hasNext() && batch.size() < MAX_BATCH; ) {
@@ -186,57 +196,51 @@
             LedgerRecord normalized = state.normalize(submission.record());
             Optional<LedgerReply> reply = state.evaluate(normalized);
             if (reply.isPresent()) {
-                submission.reply().complete(reply.get());
+                known.put(submission, reply.get());
             } else {
                 keys.add(normalized.conflictKey());
                 batch.add(new Submission(normalized, submission.reply()));
             }
         }
-        return batch;
+        return new Batch(batch, known);
     }
 
-    // Senders keep what is refused here; session pins that were told to callers stay until they are written.
+    // Senders keep what is refused here. Answers are given last, since whoever receives one may submit again at once.
     private void retryLater(List<Submission> batch) {
         if (!storeDown) {
             storeDown = true;
             counters.count("ledger.store-outages");
         }
-        batch.forEach(submission -> pending.putIfAbsent(submission.record(), submission));
-        pending.values().forEach(this::answerWithoutStore);
-        pending.values()
-                .removeIf(submission ->
-                        !(submission.record() instanceof LedgerRecord.SessionPin) || submission.isRefused());
+        batch.forEach(this::requeue);
+        List<Submission> unanswered = List.copyOf(pending.values());
+        pending.clear();
         nextTryMillis = loop.nowMillis() + backoffMillis;
-        busy = true;
-        loop.schedule(backoffMillis, () -> {
-            busy = false;
-            proceed();
-        });
         backoffMillis = Math.min(LONGEST_BACKOFF_MILLIS, backoffMillis * 2);
+        unanswered.forEach(submission -> submission.reply().complete(answerWithoutStore(submission.record())));
+    }
+
+    // The same record may have been submitted again meanwhile; then both submitters get the answer of the later one.
+    private void requeue(Submission submission) {
+        Submission again = pending.putIfAbsent(submission.record(), submission);
+        if (again != null) {
+            Futures.forward(again.reply(), submission.reply());
+        }
     }
 
     private void storeAnswered() {
         storeDown = false;
-        provisionalPins.clear();
         backoffMillis = FIRST_BACKOFF_MILLIS;
     }
 
-    private boolean canAnswerWithoutStore(LedgerRecord record) {
-        return state != null
-                && (record instanceof LedgerRecord.SessionPin
-                        || state.evaluate(state.normalize(record)).isPresent());
+    // Without the store only what is durable already may be told.
+    private LedgerReply answerWithoutStore(LedgerRecord record) {
+        return Optional.ofNullable(state)
+                .flatMap(known -> known.evaluate(known.normalize(record)))
+                .orElseGet(ShardOwner::unavailable);
     }
 
-    // Without the store only durable state may be told; a new session pin is held here until it can be written.
-    private void answerWithoutStore(Submission submission) {
-        if (state != null) {
-            state.evaluate(state.normalize(submission.record())).ifPresent(submission.reply()::complete);
-        }
-        if (state != null && submission.record() instanceof LedgerRecord.SessionPin pin) {
-            VersionReference first = provisionalPins.computeIfAbsent(pin.session(), _session -> pin.version());
-            submission.reply().complete(new LedgerReply.Pinned(first));
-        }
-        submission.refuse();
+    private static LedgerReply unavailable() {
+        return new LedgerReply.Unavailable("the store does not answer");
     }
 
     private void expireSometimes() {
@@ -246,13 +250,11 @@
         }
     }
 
+    private record Batch(List<Submission> appended, Map<Submission, LedgerReply> known) {}
+
     private record Submission(LedgerRecord record, CompletableFuture<LedgerReply> reply) {
         void refuse() {
-            reply.complete(new LedgerReply.Unavailable("the store does not answer"));
-        }
-
-        boolean isRefused() {
-            return reply.isDone() && reply.join() instanceof LedgerReply.Unavailable;
+            reply.complete(unavailable());
         }
     }
 }
--- a/daemon/src/main/java/io/heatherloft/daemon/ledger/ShardSender.java
+++ b/daemon/src/main/java/io/heatherloft/daemon/ledger/ShardSender.java
@@ -5,7 +5,8 @@
 import io.heatherloft.platform.loop.Futures;
 import io.heatherloft.platform.loop.Loop;
 import java.util.ArrayDeque;
-import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Function;
@@ -25,7 +26,7 @@
     private final Loop loop;
     private final Function<LedgerRecord, CompletableFuture<LedgerReply>> send;
     private final ArrayDeque<LedgerRecord> waiting = new ArrayDeque<>();
-    private final Map<LedgerRecord, CompletableFuture<Void>> durable = new HashMap<>();
+    private final Map<LedgerRecord, CompletableFuture<Void>> durable = new LinkedHashMap<>();
     private int underWay;
     private boolean troubled;
     private boolean pausing;
@@ -53,6 +54,10 @@
         return durable.containsKey(record);
     }
 
+    List<LedgerRecord> records() {
+        return List.copyOf(durable.keySet());
+    }
+
     int size() {
         return durable.size();
     }
--- a/daemon/src/main/java/io/heatherloft/daemon/request/ChatFlow.java
+++ b/daemon/src/main/java/io/heatherloft/daemon/request/ChatFlow.java
@@ -33,6 +33,7 @@
 final class ChatFlow {
     private static final int MAX_ATTEMPTS_PER_STEP = 4;
     private static final long SETTLE_RETRY_MILLIS = 250L;
+    private static final long TRIAL_RETRY_MILLIS = 100L;
 
     private final RequestServices services;
     private final RequestContext context;
@@ -40,6 +41,7 @@
     private final ChatRoute route;
     private final ChatAnswer answer;
     private final String fingerprint;
+    private final String trialHolder;
     private final long deadlineMillis;
     private final List<Bill.Line> lines = new ArrayList<>();
     private final Map<VersionReference, Model.TokenPrice> prices = new HashMap<>();
@@ -49,6 +51,7 @@
     private VersionReference runningVersion;
     private int step;
     private int attempts;
+    private boolean trialReserved;
     private boolean sent;
     private boolean ended;
 
@@ -64,6 +67,8 @@
         this.route = route;
         this.answer = new ChatAnswer(context, request, channel);
         this.fingerprint = request.fingerprint(context.workspace().name());
+        this.trialHolder =
+                context.requestId() + "/" + services.fleet().members().self().incarnationName() + "/" + services.now();
         this.deadlineMillis = services.now() + route.deadlineMillis();
         this.step = route.plan().firstStep();
         channel.onGone(this::onCallerGone);
@@ -101,6 +106,10 @@
                     "the request was in progress on several backend servers when they were lost"));
             return;
         }
+        if (standing == CrashRules.Standing.SUSPECT && !trialReserved) {
+            reserveThenAcquire(version);
+            return;
+        }
         Optional<Model.Version> declared =
                 services.fleet().configuration().configuration().version(version);
         if (declared.isEmpty()) {
@@ -127,12 +136,62 @@
         Futures.onComplete(services.backends().acquire(slotRequest), (slot, failure) -> {
             if (failure instanceof NoCapacityException noCapacity) {
                 giveUp(ChatProblems.ofCapacity(noCapacity, runStatus()));
+            } else if (failure == null && standing == CrashRules.Standing.SUSPECT) {
+                reserveThenDispatch(version, slot);
             } else if (failure == null) {
                 dispatch(version, slot);
             }
         });
     }
 
+    private void reserveThenAcquire(VersionReference version) {
+        Futures.onResult(services.trials().reserve(fingerprint, trialHolder), granted -> {
+            if (granted) {
+                trialReserved = true;
+                acquire(version);
+            } else {
+                retryTrialLater(version);
+            }
+        });
+    }
+
+    private void reserveThenDispatch(VersionReference version, Slot slot) {
+        String server = slot.server().address();
+        Futures.onResult(services.trials().reserve(server, trialHolder), granted -> {
+            if (granted) {
+                slot.onGivenBack(() -> {
+                    services.trials().release(server, trialHolder);
+                    releaseTrial();
+                });
+                dispatch(version, slot);
+            } else {
+                slot.giveBack();
+                releaseTrial();
+                retryTrialLater(version);
+            }
+        });
+    }
+
+    private void releaseTrial() {
+        if (trialReserved) {
+            trialReserved = false;
+            services.trials().release(fingerprint, trialHolder);
+        }
+    }
+
+    private void retryTrialLater(VersionReference version) {
+        long pause = TRIAL_RETRY_MILLIS + services.ports().random().nextInt((int) TRIAL_RETRY_MILLIS);
+        services.ports().loop().schedule(pause, () -> retryTrial(version));
+    }
+
+    private void retryTrial(VersionReference version) {
+        if (services.now() >= deadlineMillis) {
+            giveUp(Problem.of(ProblemType.TIMEOUT, runStatus(), "no backend server was free for a trial in time"));
+        } else {
+            recheckThenAcquire(version);
+        }
+    }
+
     // Configuration, quarantines and crash facts may have changed while the request waited for its place.
     private void dispatch(VersionReference version, Slot slot) {
         if (ended) {
@@ -290,6 +349,7 @@
         if (ended) {
             return;
         }
+        releaseTrial();
         if (best.isPresent() && !answer.hasBegun()) {
             explain("fallback", problem.detail());
             settleAndFinish(best.get());
--- a/daemon/src/main/java/io/heatherloft/daemon/request/RequestServices.java
+++ b/daemon/src/main/java/io/heatherloft/daemon/request/RequestServices.java
@@ -3,6 +3,7 @@
 import io.heatherloft.daemon.Counters;
 import io.heatherloft.daemon.Ports;
 import io.heatherloft.daemon.backend.BackendDirectory;
+import io.heatherloft.daemon.backend.TrialArbiter;
 import io.heatherloft.daemon.fleet.FleetState;
 import io.heatherloft.daemon.fleet.Gossiper;
 import io.heatherloft.daemon.ledger.LedgerService;
@@ -23,6 +24,7 @@
         Ports ports,
         FleetState fleet,
         BackendDirectory backends,
+        TrialArbiter trials,
         LedgerService ledger,
         SessionBinder sessions,
         CascadePlanner planner,
--- a/daemon/src/main/java/io/heatherloft/daemon/request/SessionBinder.java
+++ b/daemon/src/main/java/io/heatherloft/daemon/request/SessionBinder.java
@@ -4,7 +4,6 @@
 import io.heatherloft.daemon.Ports;
 import io.heatherloft.daemon.fleet.FleetState;
 import io.heatherloft.daemon.ledger.LedgerService;
-import io.heatherloft.domain.configuration.Configuration;
 import io.heatherloft.domain.configuration.Model;
 import io.heatherloft.domain.configuration.VersionReference;
 import io.heatherloft.domain.configuration.Workspace;
@@ -14,6 +13,7 @@
 import io.heatherloft.domain.ledger.SessionKey;
 import io.heatherloft.domain.routing.DispatchRules;
 import io.heatherloft.domain.routing.VersionSelector;
+import io.heatherloft.platform.loop.Futures;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -88,17 +88,25 @@
         });
     }
 
-    // A pin that may exist cannot be contradicted if there is only one version that it can name.
+    // A pin that may exist cannot be contradicted if the model has only one version that it can name. Versions that may
+    // not be used now count as well: the session may be bound to one, and it may come back.
     private Binding withoutLedger(Workspace workspace, SessionKey session) {
-        DispatchRules rules = fleet.dispatchRules();
-        Configuration configuration = fleet.configuration().configuration();
-        List<VersionReference> possible = configuration.models().get(session.model()).versions().stream()
-                .map(version -> new VersionReference(session.model(), version.name()))
-                .filter(version -> rules.refusalOf(workspace.name(), version).isEmpty())
-                .toList();
-        return possible.size() == 1
-                ? Binding.to(possible.get(0), "the only version possible")
-                : Binding.refused(Refusal.LEDGER_UNAVAILABLE, "the session's version cannot be read now");
+        List<Model.Version> declared = fleet.configuration()
+                .configuration()
+                .models()
+                .get(session.model())
+                .versions();
+        VersionReference first =
+                new VersionReference(session.model(), declared.get(0).name());
+        boolean certain = declared.size() == 1
+                && fleet.dispatchRules().refusalOf(workspace.name(), first).isEmpty();
+        if (!certain) {
+            return Binding.refused(Refusal.LEDGER_UNAVAILABLE, "the session's version cannot be read now");
+        }
+        LedgerRecord.SessionPin pin = new LedgerRecord.SessionPin(
+                session, first, Optional.empty(), ports.loop().nowMillis());
+        Futures.onResult(ledger.settle(pin), _safe -> counters.count("session.pinned-late"));
+        return Binding.to(first, "the model's only version");
     }
 
     private CompletableFuture<Binding> usable(Workspace workspace, SessionKey session, VersionReference version) {
--- a/daemon/src/test/java/io/heatherloft/daemon/fakes/FakeBackends.java
+++ b/daemon/src/test/java/io/heatherloft/daemon/fakes/FakeBackends.java
@@ -22,6 +22,7 @@
 import java.util.OptionalDouble;
 import java.util.Random;
 import java.util.Set;
+import java.util.function.Consumer;
 
 /** Engines and plain services with faults; what they were given is on record. */
 public final class FakeBackends {
@@ -35,6 +36,7 @@
     private final Map<String, Server> servers = new LinkedHashMap<>();
     private final List<Dispatch> dispatches = new ArrayList<>();
     private final List<String> bookings = new ArrayList<>();
+    private final List<Consumer<Dispatch>> dispatchObservers = new ArrayList<>();
     private double breakage;
 
     public FakeBackends(Random random) {
@@ -71,6 +73,9 @@
 
     public void crash(String address) {
         Server server = servers.get(address);
+        if (server.crashed) {
+            return;
+        }
         server.crashed = true;
         server.crashes++;
         List.copyOf(server.running).forEach(exchange -> exchange.breakOff("crashed"));
@@ -85,6 +90,24 @@
         return servers.values().stream().mapToInt(server -> server.crashes).sum();
     }
 
+    public void onDispatch(Consumer<Dispatch> observer) {
+        dispatchObservers.add(observer);
+    }
+
+    private static Dispatch dispatchOf(String host, Loop loop, BackendRequest request) {
+        if (!request.path().equals("/v1/chat/completions")) {
+            return new Dispatch(
+                    loop.nowMillis(),
+                    host,
+                    request.address(),
+                    "service",
+                    request.body().toText());
+        }
+        JsonNode body = parse(request.body());
+        return new Dispatch(
+                loop.nowMillis(), host, request.address(), body.path("model").asText(), EngineText.prompt(body));
+    }
+
     public List<Dispatch> dispatches() {
         return dispatches;
     }
@@ -100,6 +123,8 @@
     private BackendClient.Exchange send(String host, Loop loop, BackendRequest request, BackendListener listener) {
         Server server = servers.get(request.address());
         Running exchange = new Running(loop, server, listener);
+        Dispatch dispatch = dispatchOf(host, loop, request);
+        dispatchObservers.forEach(observer -> observer.accept(dispatch));
         if (server.crashed) {
             loop.schedule(1, () -> exchange.fail(BackendFailure.Kind.NOT_SENT, "connection refused"));
             return exchange;
@@ -110,19 +135,19 @@
             } else if (server.leavingSince > 0) {
                 exchange.answer(new BackendHead(STATUS_UNAVAILABLE, "text/plain", true, OptionalDouble.empty()), "");
             } else if (request.path().equals("/v1/chat/completions")) {
-                generate(host, request, exchange);
+                generate(dispatch, request, exchange);
             } else {
-                serve(host, request, exchange);
+                serve(dispatch, request, exchange);
             }
         });
         return exchange;
     }
 
-    private void generate(String host, BackendRequest request, Running exchange) {
+    private void generate(Dispatch dispatch, BackendRequest request, Running exchange) {
         JsonNode body = parse(request.body());
         String prompt = EngineText.prompt(body);
         String version = body.path("model").asText();
-        dispatches.add(new Dispatch(exchange.loop.nowMillis(), host, request.address(), version, prompt));
+        dispatches.add(dispatch);
         exchange.server.running.add(exchange);
         if (prompt.contains(EngineStandIn.CRASH_PROMPT)) {
             exchange.loop.schedule(TOKEN_MILLIS, () -> {
@@ -177,9 +202,9 @@
         exchange.end();
     }
 
-    private void serve(String host, BackendRequest request, Running exchange) {
+    private void serve(Dispatch dispatch, BackendRequest request, Running exchange) {
         String text = request.body().toText();
-        dispatches.add(new Dispatch(exchange.loop.nowMillis(), host, request.address(), "service", text));
+        dispatches.add(dispatch);
         exchange.server.running.add(exchange);
         boolean breaks = random.nextDouble() < breakage;
         if (breaks && random.nextBoolean()) {
--- a/daemon/src/test/java/io/heatherloft/daemon/fakes/FakeFleet.java
+++ b/daemon/src/test/java/io/heatherloft/daemon/fakes/FakeFleet.java
@@ -4,6 +4,7 @@
 import com.google.common.hash.Hashing;
 import io.heatherloft.daemon.HostCore;
 import io.heatherloft.daemon.Ports;
+import io.heatherloft.daemon.request.CallerChannel;
 import io.heatherloft.daemon.request.RequestService;
 import io.heatherloft.domain.Bytes;
 import io.heatherloft.domain.configuration.ConfigurationFile;
@@ -119,7 +120,9 @@
                                         .put("content", prompt)))
                 .toString();
         host.loop().execute(() -> callerOf(host, requestId, session)
-                .ifPresent(who -> host.core().requests().chat(who, Bytes.ofText(body), caller)));
+                .ifPresentOrElse(
+                        who -> host.core().requests().chat(who, Bytes.ofText(body), caller),
+                        () -> refuseUnknown(caller)));
         return caller;
     }
 
@@ -128,10 +131,18 @@
         RequestService.ServiceCallParts parts =
                 new RequestService.ServiceCallParts("POST", "/slots", "text/plain", Bytes.ofText(text));
         host.loop().execute(() -> callerOf(host, requestId, "")
-                .ifPresent(who -> host.core().requests().call(who, "booking", parts, caller)));
+                .ifPresentOrElse(
+                        who -> host.core().requests().call(who, "booking", parts, caller),
+                        () -> refuseUnknown(caller)));
         return caller;
     }
 
+    // What the HTTP servlet answers when the key names no workspace, as on a host without configuration yet.
+    private static void refuseUnknown(FakeCaller caller) {
+        caller.start(new CallerChannel.AnswerHead(401, "text/plain", List.of()));
+        caller.finish();
+    }
+
     private static Optional<RequestService.Caller> callerOf(Host host, String requestId, String session) {
         Optional<Workspace> workspace = host.core().requests().authenticate("key");
         return workspace.map(found -> new RequestService.Caller(
--- a/daemon/src/test/java/io/heatherloft/daemon/fakes/FakePeers.java
+++ b/daemon/src/test/java/io/heatherloft/daemon/fakes/FakePeers.java
@@ -44,6 +44,10 @@
         }
     }
 
+    public boolean isCut(String address) {
+        return cut.contains(address);
+    }
+
     public long bytes() {
         return bytes;
     }
--- a/daemon/src/test/java/io/heatherloft/daemon/fakes/WrittenLedger.java
+++ b/daemon/src/test/java/io/heatherloft/daemon/fakes/WrittenLedger.java
@@ -31,7 +31,7 @@
                         settlement -> requestId(settlement.key().requestId()), Collectors.counting()));
     }
 
-    private static String requestId(String keyId) {
+    static String requestId(String keyId) {
         return keyId.startsWith("booking:")
                 ? keyId.substring("booking:".length())
                 : keyId.substring(0, keyId.indexOf(':'));
--- a/domain/src/main/java/io/heatherloft/domain/ledger/LedgerShard.java
+++ b/domain/src/main/java/io/heatherloft/domain/ledger/LedgerShard.java
@@ -38,16 +38,18 @@
     /**
      * Decides what a record means in the present state, without changing it.
      *
+     * <p>The state may be older than the log, so only what can never be undone is told from it: that a request is
+     * settled, that a claim was made, that a session is bound. Whatever rests on the absence of an entry is written
+     * to the log first, which finds out whether the state is current.
+     *
      * @return the final reply, or empty if the record is to be made durable and then applied
      */
     public Optional<LedgerReply> evaluate(LedgerRecord record) {
         if (record instanceof LedgerRecord.Claim claim) {
             return evaluateClaim(claim);
         }
-        if (record instanceof LedgerRecord.Release release) {
-            return holds(release.key(), release.token())
-                    ? Optional.empty()
-                    : Optional.of(new LedgerReply.Settled(false));
+        if (record instanceof LedgerRecord.Release) {
+            return Optional.empty();
         }
         if (record instanceof LedgerRecord.Settlement settlement) {
             return evaluateSettlement(settlement);
@@ -74,7 +76,8 @@
             return new LedgerReply.Granted();
         }
         if (record instanceof LedgerRecord.Release release) {
-            claims.remove(release.key().text());
+            claims.computeIfPresent(
+                    release.key().text(), (_key, state) -> state.isHeldBy(release.token()) ? null : state);
             return new LedgerReply.Settled(true);
         }
         if (record instanceof LedgerRecord.Settlement settlement) {
@@ -156,11 +159,10 @@
                     ? Optional.of(new LedgerReply.Settled(false))
                     : Optional.empty();
         }
-        ClaimState state = claims.get(settlement.key().text());
-        boolean unanswered = state != null
-                && state.token().equals(settlement.token().get())
-                && state.answer().isEmpty();
-        return unanswered ? Optional.empty() : Optional.of(new LedgerReply.Settled(false));
+        boolean answered = Optional.ofNullable(claims.get(settlement.key().text()))
+                .map(state -> state.isAnsweredBy(settlement.token().get()))
+                .orElse(false);
+        return answered ? Optional.of(new LedgerReply.Settled(false)) : Optional.empty();
     }
 
     private Optional<LedgerReply> evaluatePin(LedgerRecord.SessionPin pin) {
@@ -195,11 +197,6 @@
                 settlement.key().text(), (_key, state) -> state.answered(settlement.answer(), settlement.atMillis()));
     }
 
-    private boolean holds(RequestKey key, ClaimToken token) {
-        ClaimState state = claims.get(key.text());
-        return state != null && state.token().equals(token) && state.answer().isEmpty();
-    }
-
     private int indexOf(VersionReference version) {
         return pinnedVersionIndexes.computeIfAbsent(version, added -> {
             pinnedVersions.add(added);
@@ -212,6 +209,14 @@
             return new ClaimState(claim.token(), claim.bodyDigest(), Optional.empty(), claim.atMillis());
         }
 
+        boolean isHeldBy(ClaimToken other) {
+            return token.equals(other) && answer.isEmpty();
+        }
+
+        boolean isAnsweredBy(ClaimToken other) {
+            return token.equals(other) && answer.isPresent();
+        }
+
         ClaimState answered(Optional<RecordedAnswer> given, long answeredAtMillis) {
             RecordedAnswer kept = given.orElseGet(RecordedAnswer::lost);
             return new ClaimState(token, bodyDigest, Optional.of(kept), answeredAtMillis);
--- a/domain/src/main/java/io/heatherloft/domain/routing/VersionSelector.java
+++ b/domain/src/main/java/io/heatherloft/domain/routing/VersionSelector.java
@@ -6,6 +6,7 @@
 import io.heatherloft.domain.configuration.Rollout;
 import io.heatherloft.domain.configuration.VersionReference;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -52,14 +53,15 @@
             return List.of();
         }
         List<String> order = new ArrayList<>();
-        Optional.ofNullable(configuration.rollouts().get(modelName))
-                .ifPresent(rollout -> order.addAll(rolloutOrder(rollout, affinity)));
-        String untested = Optional.ofNullable(configuration.rollouts().get(modelName))
-                .map(Rollout::to)
-                .orElse("");
+        Optional<Rollout> rollout = Optional.ofNullable(configuration.rollouts().get(modelName));
+        rollout.ifPresent(found -> order.addAll(rolloutOrder(found, affinity)));
+        // The new version takes more than its share only if nothing else may be used.
+        Comparator<String> newVersionLast = Comparator.comparing(
+                name -> rollout.map(found -> found.to().equals(name)).orElse(false));
         model.versions().stream()
                 .map(Model.Version::name)
-                .filter(name -> !order.contains(name) && !name.equals(untested))
+                .filter(name -> !order.contains(name))
+                .sorted(newVersionLast)
                 .forEach(order::add);
         return order.stream().map(name -> new VersionReference(modelName, name)).toList();
     }
--- a/standins/src/main/java/io/heatherloft/standins/MemoryStore.java
+++ b/standins/src/main/java/io/heatherloft/standins/MemoryStore.java
@@ -4,7 +4,7 @@
 import io.heatherloft.platform.store.StoreValue;
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -22,7 +22,7 @@
     private final TreeMap<String, Entry> entries = new TreeMap<>();
     private final Map<Long, Lease> leases = new HashMap<>();
     private final List<StoreValue> history = new ArrayList<>();
-    private final Set<Watcher> watchers = new HashSet<>();
+    private final Set<Watcher> watchers = new LinkedHashSet<>();
     private long revision = 1;
     private long lastLease;
 
