--- a/bench/src/main/java/io/heatherloft/bench/SampleData.java
+++ b/bench/src/main/java/io/heatherloft/bench/SampleData.java
@@ -49,7 +49,7 @@
         String head =
                 """
                 pools:
-                  - {name: runners, max-in-flight-per-server: 16}
+                  - {name: runners, max-in-flight-per-server: 64}
                 models:
                   - name: small
                     versions:
