--- a/daemon/src/main/java/io/heatherloft/daemon/backend/BackendDirectory.java
+++ b/daemon/src/main/java/io/heatherloft/daemon/backend/BackendDirectory.java
@@ -3,7 +3,6 @@
 import io.heatherloft.daemon.Counters;
 import io.heatherloft.daemon.Ports;
 import io.heatherloft.daemon.fleet.FleetState;
-import io.heatherloft.daemon.fleet.Gossiper;
 import io.heatherloft.domain.configuration.Pool;
 import io.heatherloft.domain.membership.Fact;
 import io.heatherloft.domain.routing.BackendServer;
@@ -77,13 +76,7 @@
 
     /** Records the word of a backend server that it is leaving, and tells the fleet. */
     public void recordLeaving(BackendServer server) {
-        if (fleet.learn(Gossiper.fact(
-                Fact.Kind.BACKEND_LEAVING,
-                server.address(),
-                "",
-                fleet,
-                ports.loop().nowMillis(),
-                LEAVING_MEMORY_MILLIS))) {
+        if (fleet.learn(Fact.Kind.BACKEND_LEAVING, server.address(), "", LEAVING_MEMORY_MILLIS)) {
             counters.count("backend.leaving");
         }
     }
--- a/daemon/src/main/java/io/heatherloft/daemon/backend/OrderGiver.java
+++ b/daemon/src/main/java/io/heatherloft/daemon/backend/OrderGiver.java
@@ -74,8 +74,7 @@
     }
 
     private boolean isMine(BackendServer server) {
-        return fleet.members().rendezvous("orders/" + server.address(), 1).stream()
-                .anyMatch(member -> member.id().equals(fleet.members().self().id()));
+        return fleet.members().isSelf(fleet.members().carrierOf("orders/" + server.address()));
     }
 
     private List<String> wantedVersions(String pool) {
--- a/daemon/src/main/java/io/heatherloft/daemon/backend/TrialArbiter.java
+++ b/daemon/src/main/java/io/heatherloft/daemon/backend/TrialArbiter.java
@@ -9,7 +9,6 @@
 import io.heatherloft.platform.loop.Futures;
 import io.heatherloft.platform.loop.Loop;
 import java.util.HashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 
@@ -72,12 +71,11 @@
                 .setHolder(holder)
                 .setRelease(release)
                 .build();
-        List<Member> arbiters = fleet.members().rendezvous("trial/" + resource, 1);
-        if (arbiters.isEmpty()
-                || arbiters.get(0).id().equals(fleet.members().self().id())) {
+        Member arbiter = fleet.members().carrierOf("trial/" + resource);
+        if (fleet.members().isSelf(arbiter)) {
             return CompletableFuture.completedFuture(answer(wish));
         }
-        return gossiper.call(arbiters.get(0).address(), PeerRequest.newBuilder().setReserve(wish));
+        return gossiper.call(arbiter.address(), PeerRequest.newBuilder().setReserve(wish));
     }
 
     private record Grant(String holder, long untilMillis) {}
--- a/daemon/src/main/java/io/heatherloft/daemon/fleet/FleetState.java
+++ b/daemon/src/main/java/io/heatherloft/daemon/fleet/FleetState.java
@@ -35,6 +35,11 @@
         this.members = members;
     }
 
+    /** Adds a fact that this host found, to be forgotten after a time in milliseconds; returns true if it was new. */
+    public boolean learn(Fact.Kind kind, String subject, String detail, long lifeMillis) {
+        return learn(new Fact(kind, subject, detail, configuration.generation(), loop.nowMillis() + lifeMillis));
+    }
+
     /** Adds a fact; returns true if it was new. */
     public boolean learn(Fact fact) {
         boolean added = facts.add(fact, loop.nowMillis());
--- a/daemon/src/main/java/io/heatherloft/daemon/fleet/Gossiper.java
+++ b/daemon/src/main/java/io/heatherloft/daemon/fleet/Gossiper.java
@@ -1,7 +1,6 @@
 package io.heatherloft.daemon.fleet;
 
 import io.heatherloft.daemon.Counters;
-import io.heatherloft.domain.membership.Fact;
 import io.heatherloft.domain.membership.Member;
 import io.heatherloft.peer.MembershipCodec;
 import io.heatherloft.peer.PeerNetwork;
@@ -207,10 +206,4 @@
     private CompletableFuture<PeerReply> probe(String address) {
         return call(address, PeerRequest.newBuilder().setProbe(Probe.getDefaultInstance()));
     }
-
-    /** Returns a fact that expires after a time, in milliseconds. */
-    public static Fact fact(
-            Fact.Kind kind, String subject, String detail, FleetState fleet, long nowMillis, long lifeMillis) {
-        return new Fact(kind, subject, detail, fleet.configuration().generation(), nowMillis + lifeMillis);
-    }
 }
--- a/daemon/src/main/java/io/heatherloft/daemon/fleet/RolloutWatch.java
+++ b/daemon/src/main/java/io/heatherloft/daemon/fleet/RolloutWatch.java
@@ -57,19 +57,16 @@
 
     /** Returns true if an answer of this version is to be rated. */
     public boolean wantsRatingOf(VersionReference version) {
-        RatingSampler.Role role = rolloutOf(version.model())
-                .map(rollout -> roleIn(rollout, version))
-                .orElse(RatingSampler.Role.SETTLED);
-        return sampler.sample(role, ports.loop().nowMillis());
+        return sampler.sample(roleOf(version), ports.loop().nowMillis());
     }
 
     /** Adds a rating of an answer that this host gave. */
     public void addRating(VersionReference version, double score) {
-        boolean watched = rolloutOf(version.model())
-                .map(rollout -> roleIn(rollout, version) != RatingSampler.Role.SETTLED)
-                .orElse(false);
+        if (roleOf(version) == RatingSampler.Role.SETTLED) {
+            return;
+        }
         List<Float> scores = unreported.computeIfAbsent(version, _version -> new ArrayList<>());
-        if (watched && scores.size() < MAX_SCORES_PER_REPORT) {
+        if (scores.size() < MAX_SCORES_PER_REPORT) {
             scores.add((float) score);
         }
     }
@@ -94,13 +91,7 @@
     }
 
     private void quarantine(VersionReference version, String declaration) {
-        Fact fact = new Fact(
-                Fact.Kind.VERSION_QUARANTINED,
-                version.toString(),
-                declaration,
-                fleet.configuration().generation(),
-                ports.loop().nowMillis() + QUARANTINE_MILLIS);
-        if (fleet.learn(fact)) {
+        if (fleet.learn(Fact.Kind.VERSION_QUARANTINED, version.toString(), declaration, QUARANTINE_MILLIS)) {
             counters.count("rollout.quarantines");
         }
     }
@@ -108,11 +99,7 @@
     private void report() {
         Map<VersionReference, List<Float>> reported = new HashMap<>(unreported);
         unreported.clear();
-        reported.forEach((version, scores) -> {
-            if (!scores.isEmpty()) {
-                send(version, scores);
-            }
-        });
+        reported.forEach(this::send);
     }
 
     private void send(VersionReference version, List<Float> scores) {
@@ -121,14 +108,12 @@
                 .setGeneration(fleet.configuration().generation())
                 .addAllScores(scores)
                 .build();
-        List<Member> watchers = fleet.members().rendezvous("rollout/" + version.model(), 1);
-        boolean isWatcher = watchers.isEmpty()
-                || watchers.get(0).id().equals(fleet.members().self().id());
-        if (isWatcher) {
+        Member watcher = fleet.members().carrierOf("rollout/" + version.model());
+        if (fleet.members().isSelf(watcher)) {
             accept(report);
         } else {
             PeerRequest.Builder request = PeerRequest.newBuilder().setRating(report);
-            Futures.onComplete(gossiper.call(watchers.get(0).address(), request), (_reply, failure) -> {
+            Futures.onComplete(gossiper.call(watcher.address(), request), (_reply, failure) -> {
                 if (failure != null) {
                     counters.count("rollout.reports-lost");
                 }
@@ -136,6 +121,12 @@
         }
     }
 
+    private RatingSampler.Role roleOf(VersionReference version) {
+        return rolloutOf(version.model())
+                .map(rollout -> roleIn(rollout, version))
+                .orElse(RatingSampler.Role.SETTLED);
+    }
+
     private Optional<Rollout> rolloutOf(String model) {
         return Optional.ofNullable(configuration().rollouts().get(model));
     }
--- a/daemon/src/main/java/io/heatherloft/daemon/fleet/ShardOwners.java
+++ b/daemon/src/main/java/io/heatherloft/daemon/fleet/ShardOwners.java
@@ -34,12 +34,7 @@
     public Member ownerOf(int shard, MemberTable members) {
         return Optional.ofNullable(announcements.get(shard))
                 .flatMap(announcement -> living(announcement.hostId(), members))
-                .orElseGet(() -> firstInLine(shard, members));
-    }
-
-    private static Member firstInLine(int shard, MemberTable members) {
-        List<Member> line = members.rendezvous("ledger/" + shard, 1);
-        return line.isEmpty() ? members.self() : line.get(0);
+                .orElseGet(() -> members.carrierOf("ledger/" + shard));
     }
 
     private static Optional<Member> living(String hostId, MemberTable members) {
--- a/daemon/src/main/java/io/heatherloft/daemon/ledger/LedgerService.java
+++ b/daemon/src/main/java/io/heatherloft/daemon/ledger/LedgerService.java
@@ -50,8 +50,8 @@
     private final Counters counters;
     private final Map<Integer, ShardOwner> owners = new HashMap<>();
     private final Map<Integer, ShardSender> senders = new HashMap<>();
-    private boolean stopping;
     private final Map<LedgerRecord, Set<String>> copies = new LinkedHashMap<>();
+    private boolean stopping;
 
     /** Creates the service of a host. */
     public LedgerService(Ports ports, FleetState fleet, Gossiper gossiper, Counters counters) {
@@ -85,10 +85,7 @@
             return CompletableFuture.completedFuture(false);
         }
         CompletableFuture<Boolean> safe = new CompletableFuture<>();
-        Futures.onResult(sender(record).add(record), _durable -> {
-            copies.remove(record);
-            safe.complete(true);
-        });
+        Futures.onResult(keepUntilDurable(record), _durable -> safe.complete(true));
         ports.loop().schedule(DURABLE_PATIENCE_MILLIS, () -> holdElsewhere(record, safe));
         return safe;
     }
@@ -142,8 +139,8 @@
             return Gossiper.acknowledge(false);
         }
         counters.count("ledger.held-for-peers");
-        copies.computeIfAbsent(record, _record -> new HashSet<>()).add(sender.incarnationName());
-        Futures.onResult(sender(record).add(record), _durable -> copies.remove(record));
+        Futures.onResult(keepUntilDurable(record), _durable -> {});
+        recordCopy(record, sender);
         return Gossiper.acknowledge(true);
     }
 
@@ -192,6 +189,12 @@
         }
     }
 
+    private CompletableFuture<Void> keepUntilDurable(LedgerRecord record) {
+        CompletableFuture<Void> durable = sender(record).add(record);
+        Futures.onResult(durable, _durable -> copies.remove(record));
+        return durable;
+    }
+
     private ShardSender sender(LedgerRecord record) {
         int shard = LedgerKeys.shardOf(record.shardHash());
         return senders.computeIfAbsent(shard, _shard -> new ShardSender(ports.loop(), this::sendToOwner));
@@ -218,7 +221,7 @@
     private CompletableFuture<LedgerReply> sendToOwner(LedgerRecord record) {
         int shard = LedgerKeys.shardOf(record.shardHash());
         Member owner = fleet.shardOwners().ownerOf(shard, fleet.members());
-        if (owner.id().equals(fleet.members().self().id())) {
+        if (fleet.members().isSelf(owner)) {
             return owner(shard).submit(record);
         }
         PeerRequest.Builder request = PeerRequest.newBuilder()
@@ -283,7 +286,7 @@
 
     private boolean isOwner(int shard) {
         Member owner = fleet.shardOwners().ownerOf(shard, fleet.members());
-        return owner.id().equals(fleet.members().self().id());
+        return fleet.members().isSelf(owner);
     }
 
     private ShardOwner owner(int shard) {
--- a/daemon/src/main/java/io/heatherloft/daemon/request/RequestServices.java
+++ b/daemon/src/main/java/io/heatherloft/daemon/request/RequestServices.java
@@ -5,7 +5,6 @@
 import io.heatherloft.daemon.backend.BackendDirectory;
 import io.heatherloft.daemon.backend.TrialArbiter;
 import io.heatherloft.daemon.fleet.FleetState;
-import io.heatherloft.daemon.fleet.Gossiper;
 import io.heatherloft.daemon.fleet.RolloutWatch;
 import io.heatherloft.daemon.ledger.LedgerService;
 import io.heatherloft.domain.cascade.CascadePlanner;
@@ -58,8 +57,7 @@
     /** Holds the loss of a backend server against a request, unless several were lost at once. */
     void recordCrash(String fingerprint, BackendServer server) {
         if (!backends.recordLoss(server)) {
-            fleet.learn(Gossiper.fact(
-                    Fact.Kind.CRASHED_BACKEND, fingerprint, server.address(), fleet, now(), CrashRules.MEMORY_MILLIS));
+            fleet.learn(Fact.Kind.CRASHED_BACKEND, fingerprint, server.address(), CrashRules.MEMORY_MILLIS);
         }
     }
 }
--- a/domain/src/main/java/io/heatherloft/domain/membership/MemberTable.java
+++ b/domain/src/main/java/io/heatherloft/domain/membership/MemberTable.java
@@ -163,6 +163,17 @@
                 .toList();
     }
 
+    /** Returns the host that carries a duty; this host if it knows of no other. */
+    public Member carrierOf(String duty) {
+        List<Member> first = rendezvous(duty, 1);
+        return first.isEmpty() ? self : first.get(0);
+    }
+
+    /** Returns true if {@code member} is this host. */
+    public boolean isSelf(Member member) {
+        return member.id().equals(self.id());
+    }
+
     private Weighted weigh(Member member, long dutyHash) {
         long idHash = idHashes.computeIfAbsent(member.id(), StableHash::of);
         return new Weighted(member, StableHash.mix(idHash, dutyHash));
