--- a/bench/src/main/java/io/heatherloft/bench/SizeBenchmark.java
+++ b/bench/src/main/java/io/heatherloft/bench/SizeBenchmark.java
@@ -17,7 +17,7 @@
 import io.heatherloft.domain.ledger.Retention;
 import io.heatherloft.peer.LedgerCodec;
 import io.heatherloft.peer.generated.LedgerBatch;
-import io.heatherloft.platform.loop.Loop;
+import io.heatherloft.ports.loop.Loop;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
--- a/cli/src/main/java/io/heatherloft/cli/Output.java
+++ b/cli/src/main/java/io/heatherloft/cli/Output.java
@@ -2,9 +2,9 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import io.heatherloft.domain.ledger.WorkspaceTotals;
-import io.heatherloft.platform.configuration.ConfigurationDocument;
-import io.heatherloft.platform.configuration.ConfigurationHead;
-import io.heatherloft.platform.http.JsonHttp;
+import io.heatherloft.ports.configuration.ConfigurationDocument;
+import io.heatherloft.ports.configuration.ConfigurationHead;
+import io.heatherloft.ports.http.JsonHttp;
 import java.io.PrintStream;
 import java.time.Instant;
 import java.util.List;
--- a/daemon/src/main/java/io/heatherloft/daemon/Daemon.java
+++ b/daemon/src/main/java/io/heatherloft/daemon/Daemon.java
@@ -13,13 +13,13 @@
 import io.heatherloft.peer.NettyPeerNetwork;
 import io.heatherloft.peer.NettyPeerServer;
 import io.heatherloft.peer.PeerTraffic;
-import io.heatherloft.platform.backend.HttpBackendClient;
-import io.heatherloft.platform.backend.HttpEngineOrders;
-import io.heatherloft.platform.hosts.HttpHostList;
-import io.heatherloft.platform.http.HttpClients;
-import io.heatherloft.platform.loop.EventloopLoop;
-import io.heatherloft.platform.rating.HttpRatingService;
-import io.heatherloft.platform.store.EtcdGatewayStore;
+import io.heatherloft.ports.backend.HttpBackendClient;
+import io.heatherloft.ports.backend.HttpEngineOrders;
+import io.heatherloft.ports.hosts.HttpHostList;
+import io.heatherloft.ports.http.HttpClients;
+import io.heatherloft.ports.loop.EventloopLoop;
+import io.heatherloft.ports.rating.HttpRatingService;
+import io.heatherloft.ports.store.EtcdGatewayStore;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import io.prometheus.metrics.instrumentation.dropwizard.DropwizardExports;
@@ -95,7 +95,7 @@
         CompletableFuture<Void> stopped = new CompletableFuture<>();
         eventloop.execute(() -> {
             CompletableFuture<Void> drained = core.stop(settings.balancerNoticeMillis(), settings.drainMillis());
-            io.heatherloft.platform.loop.Futures.onComplete(drained, (_nothing, _failure) -> {
+            io.heatherloft.ports.loop.Futures.onComplete(drained, (_nothing, _failure) -> {
                 closeServers();
                 stopped.complete(null);
             });
--- a/daemon/src/main/java/io/heatherloft/daemon/HostCore.java
+++ b/daemon/src/main/java/io/heatherloft/daemon/HostCore.java
@@ -18,7 +18,7 @@
 import io.heatherloft.domain.membership.Member;
 import io.heatherloft.domain.membership.MemberTable;
 import io.heatherloft.domain.routing.RetryBudget;
-import io.heatherloft.platform.loop.Futures;
+import io.heatherloft.ports.loop.Futures;
 import java.util.concurrent.CompletableFuture;
 
 /**
--- a/daemon/src/main/java/io/heatherloft/daemon/PeerHandler.java
+++ b/daemon/src/main/java/io/heatherloft/daemon/PeerHandler.java
@@ -13,7 +13,7 @@
 import io.heatherloft.peer.generated.ExplainAnswer;
 import io.heatherloft.peer.generated.PeerReply;
 import io.heatherloft.peer.generated.PeerRequest;
-import io.heatherloft.platform.http.JsonHttp;
+import io.heatherloft.ports.http.JsonHttp;
 import java.util.concurrent.CompletableFuture;
 
 /**
--- a/daemon/src/main/java/io/heatherloft/daemon/Ports.java
+++ b/daemon/src/main/java/io/heatherloft/daemon/Ports.java
@@ -1,12 +1,12 @@
 package io.heatherloft.daemon;
 
 import io.heatherloft.peer.PeerNetwork;
-import io.heatherloft.platform.backend.BackendClient;
-import io.heatherloft.platform.backend.EngineOrders;
-import io.heatherloft.platform.hosts.HostList;
-import io.heatherloft.platform.loop.Loop;
-import io.heatherloft.platform.rating.RatingService;
-import io.heatherloft.platform.store.KeyValueStore;
+import io.heatherloft.ports.backend.BackendClient;
+import io.heatherloft.ports.backend.EngineOrders;
+import io.heatherloft.ports.hosts.HostList;
+import io.heatherloft.ports.loop.Loop;
+import io.heatherloft.ports.rating.RatingService;
+import io.heatherloft.ports.store.KeyValueStore;
 import java.util.Random;
 
 /**
--- a/daemon/src/main/java/io/heatherloft/daemon/backend/PoolQueue.java
+++ b/daemon/src/main/java/io/heatherloft/daemon/backend/PoolQueue.java
@@ -4,7 +4,7 @@
 import io.heatherloft.domain.admission.FairQueue;
 import io.heatherloft.domain.admission.WaitEstimator;
 import io.heatherloft.domain.routing.Placement;
-import io.heatherloft.platform.loop.Loop;
+import io.heatherloft.ports.loop.Loop;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
--- a/daemon/src/main/java/io/heatherloft/daemon/fleet/ConfigurationState.java
+++ b/daemon/src/main/java/io/heatherloft/daemon/fleet/ConfigurationState.java
@@ -1,7 +1,7 @@
 package io.heatherloft.daemon.fleet;
 
 import io.heatherloft.domain.configuration.Configuration;
-import io.heatherloft.platform.configuration.ConfigurationDocument;
+import io.heatherloft.ports.configuration.ConfigurationDocument;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
--- a/daemon/src/main/java/io/heatherloft/daemon/fleet/RolloutWatch.java
+++ b/daemon/src/main/java/io/heatherloft/daemon/fleet/RolloutWatch.java
@@ -11,7 +11,7 @@
 import io.heatherloft.domain.rollout.RatingSampler;
 import io.heatherloft.peer.generated.PeerRequest;
 import io.heatherloft.peer.generated.RatingReport;
-import io.heatherloft.platform.loop.Futures;
+import io.heatherloft.ports.loop.Futures;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
--- a/daemon/src/main/java/io/heatherloft/daemon/http/CallerServlet.java
+++ b/daemon/src/main/java/io/heatherloft/daemon/http/CallerServlet.java
@@ -15,7 +15,7 @@
 import io.heatherloft.daemon.request.RunStatus;
 import io.heatherloft.domain.Bytes;
 import io.heatherloft.domain.configuration.Workspace;
-import io.heatherloft.platform.http.JsonHttp;
+import io.heatherloft.ports.http.JsonHttp;
 import java.util.Optional;
 import java.util.function.BiConsumer;
 
--- a/daemon/src/main/java/io/heatherloft/daemon/ledger/ShardSender.java
+++ b/daemon/src/main/java/io/heatherloft/daemon/ledger/ShardSender.java
@@ -2,8 +2,8 @@
 
 import io.heatherloft.domain.ledger.LedgerRecord;
 import io.heatherloft.domain.ledger.LedgerReply;
-import io.heatherloft.platform.loop.Futures;
-import io.heatherloft.platform.loop.Loop;
+import io.heatherloft.ports.loop.Futures;
+import io.heatherloft.ports.loop.Loop;
 import java.util.ArrayDeque;
 import java.util.LinkedHashMap;
 import java.util.List;
--- a/daemon/src/main/java/io/heatherloft/daemon/request/AnswerRatings.java
+++ b/daemon/src/main/java/io/heatherloft/daemon/request/AnswerRatings.java
@@ -2,9 +2,9 @@
 
 import io.heatherloft.daemon.Counters;
 import io.heatherloft.domain.configuration.VersionReference;
-import io.heatherloft.platform.loop.Futures;
-import io.heatherloft.platform.loop.Loop;
-import io.heatherloft.platform.rating.RatingService;
+import io.heatherloft.ports.loop.Futures;
+import io.heatherloft.ports.loop.Loop;
+import io.heatherloft.ports.rating.RatingService;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
--- a/daemon/src/main/java/io/heatherloft/daemon/request/Answers.java
+++ b/daemon/src/main/java/io/heatherloft/daemon/request/Answers.java
@@ -1,7 +1,7 @@
 package io.heatherloft.daemon.request;
 
 import io.heatherloft.domain.Bytes;
-import io.heatherloft.platform.loop.Futures;
+import io.heatherloft.ports.loop.Futures;
 import java.util.ArrayList;
 import java.util.List;
 
--- a/daemon/src/main/java/io/heatherloft/daemon/request/ChatAnswer.java
+++ b/daemon/src/main/java/io/heatherloft/daemon/request/ChatAnswer.java
@@ -3,7 +3,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.heatherloft.domain.Bytes;
 import io.heatherloft.domain.configuration.VersionReference;
-import io.heatherloft.platform.loop.Futures;
+import io.heatherloft.ports.loop.Futures;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
--- a/daemon/src/main/java/io/heatherloft/daemon/request/ChatRequest.java
+++ b/daemon/src/main/java/io/heatherloft/daemon/request/ChatRequest.java
@@ -6,7 +6,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.heatherloft.domain.Bytes;
 import io.heatherloft.domain.StableHash;
-import io.heatherloft.platform.http.JsonHttp;
+import io.heatherloft.ports.http.JsonHttp;
 import java.util.Optional;
 import java.util.stream.Collectors;
 import java.util.stream.StreamSupport;
--- a/daemon/src/main/java/io/heatherloft/daemon/request/Problem.java
+++ b/daemon/src/main/java/io/heatherloft/daemon/request/Problem.java
@@ -1,7 +1,7 @@
 package io.heatherloft.daemon.request;
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import io.heatherloft.platform.http.JsonHttp;
+import io.heatherloft.ports.http.JsonHttp;
 
 /**
  * A refusal or failure as told to a caller: a problem document (RFC 9457).
--- a/daemon/src/main/java/io/heatherloft/daemon/request/ServiceAttempt.java
+++ b/daemon/src/main/java/io/heatherloft/daemon/request/ServiceAttempt.java
@@ -2,12 +2,12 @@
 
 import io.heatherloft.daemon.backend.Slot;
 import io.heatherloft.domain.Bytes;
-import io.heatherloft.platform.backend.BackendClient;
-import io.heatherloft.platform.backend.BackendFailure;
-import io.heatherloft.platform.backend.BackendHead;
-import io.heatherloft.platform.backend.BackendListener;
-import io.heatherloft.platform.backend.BackendRequest;
-import io.heatherloft.platform.loop.Loop;
+import io.heatherloft.ports.backend.BackendClient;
+import io.heatherloft.ports.backend.BackendFailure;
+import io.heatherloft.ports.backend.BackendHead;
+import io.heatherloft.ports.backend.BackendListener;
+import io.heatherloft.ports.backend.BackendRequest;
+import io.heatherloft.ports.loop.Loop;
 import java.io.ByteArrayOutputStream;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
--- a/daemon/src/main/java/io/heatherloft/daemon/request/SessionBinder.java
+++ b/daemon/src/main/java/io/heatherloft/daemon/request/SessionBinder.java
@@ -13,7 +13,7 @@
 import io.heatherloft.domain.ledger.SessionKey;
 import io.heatherloft.domain.routing.DispatchRules;
 import io.heatherloft.domain.routing.VersionSelector;
-import io.heatherloft.platform.loop.Futures;
+import io.heatherloft.ports.loop.Futures;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
--- a/daemon/src/test/java/io/heatherloft/daemon/GoldenSessionsTest.java
+++ b/daemon/src/test/java/io/heatherloft/daemon/GoldenSessionsTest.java
@@ -6,7 +6,7 @@
 import io.heatherloft.daemon.fakes.FakeConfiguration;
 import io.heatherloft.daemon.fakes.FakeFleet;
 import io.heatherloft.daemon.request.Explanation;
-import io.heatherloft.platform.loop.Futures;
+import io.heatherloft.ports.loop.Futures;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
--- a/daemon/src/test/java/io/heatherloft/daemon/RolloutWatchTest.java
+++ b/daemon/src/test/java/io/heatherloft/daemon/RolloutWatchTest.java
@@ -7,7 +7,7 @@
 import io.heatherloft.daemon.fakes.FakeConfiguration;
 import io.heatherloft.daemon.fakes.FakeFleet;
 import io.heatherloft.domain.membership.Fact;
-import io.heatherloft.platform.loop.Futures;
+import io.heatherloft.ports.loop.Futures;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
--- a/daemon/src/test/java/io/heatherloft/daemon/SessionPromisesTest.java
+++ b/daemon/src/test/java/io/heatherloft/daemon/SessionPromisesTest.java
@@ -5,7 +5,7 @@
 import io.heatherloft.daemon.fakes.FakeCaller;
 import io.heatherloft.daemon.fakes.FakeConfiguration;
 import io.heatherloft.daemon.fakes.FakeFleet;
-import io.heatherloft.platform.loop.Futures;
+import io.heatherloft.ports.loop.Futures;
 import java.util.HashSet;
 import java.util.Set;
 import org.junit.jupiter.api.Nested;
--- a/daemon/src/test/java/io/heatherloft/daemon/StopAndLimitsTest.java
+++ b/daemon/src/test/java/io/heatherloft/daemon/StopAndLimitsTest.java
@@ -6,7 +6,7 @@
 import io.heatherloft.daemon.fakes.FakeConfiguration;
 import io.heatherloft.daemon.fakes.FakeFleet;
 import io.heatherloft.daemon.fakes.WrittenLedger;
-import io.heatherloft.platform.loop.Futures;
+import io.heatherloft.ports.loop.Futures;
 import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Nested;
--- a/daemon/src/test/java/io/heatherloft/daemon/fakes/Answers.java
+++ b/daemon/src/test/java/io/heatherloft/daemon/fakes/Answers.java
@@ -1,7 +1,7 @@
 package io.heatherloft.daemon.fakes;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
-import io.heatherloft.platform.http.JsonHttp;
+import io.heatherloft.ports.http.JsonHttp;
 import io.heatherloft.standins.EngineText;
 import java.util.stream.Collectors;
 
--- a/daemon/src/test/java/io/heatherloft/daemon/fakes/FakePeers.java
+++ b/daemon/src/test/java/io/heatherloft/daemon/fakes/FakePeers.java
@@ -5,7 +5,7 @@
 import io.heatherloft.peer.PeerUnavailableException;
 import io.heatherloft.peer.generated.PeerReply;
 import io.heatherloft.peer.generated.PeerRequest;
-import io.heatherloft.platform.loop.Futures;
+import io.heatherloft.ports.loop.Futures;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
--- a/daemon/src/test/java/io/heatherloft/daemon/fakes/FakeStore.java
+++ b/daemon/src/test/java/io/heatherloft/daemon/fakes/FakeStore.java
@@ -1,11 +1,11 @@
 package io.heatherloft.daemon.fakes;
 
 import io.heatherloft.domain.Bytes;
-import io.heatherloft.platform.loop.Loop;
-import io.heatherloft.platform.store.KeyValueStore;
-import io.heatherloft.platform.store.StoreUnavailableException;
-import io.heatherloft.platform.store.StoreValue;
-import io.heatherloft.platform.store.WriteOutcome;
+import io.heatherloft.ports.loop.Loop;
+import io.heatherloft.ports.store.KeyValueStore;
+import io.heatherloft.ports.store.StoreUnavailableException;
+import io.heatherloft.ports.store.StoreValue;
+import io.heatherloft.ports.store.WriteOutcome;
 import io.heatherloft.standins.MemoryStore;
 import java.util.ArrayList;
 import java.util.List;
--- a/daemon/src/test/java/io/heatherloft/daemon/fakes/PromiseChecks.java
+++ b/daemon/src/test/java/io/heatherloft/daemon/fakes/PromiseChecks.java
@@ -5,7 +5,7 @@
 import io.heatherloft.daemon.fakes.RandomScenario.Kind;
 import io.heatherloft.daemon.fakes.RandomScenario.Send;
 import io.heatherloft.domain.ledger.LedgerRecord;
-import io.heatherloft.platform.loop.Futures;
+import io.heatherloft.ports.loop.Futures;
 import io.heatherloft.standins.EngineStandIn;
 import java.util.HashMap;
 import java.util.HashSet;
--- a/daemon/src/test/java/io/heatherloft/daemon/fakes/RandomScenario.java
+++ b/daemon/src/test/java/io/heatherloft/daemon/fakes/RandomScenario.java
@@ -1,10 +1,10 @@
 package io.heatherloft.daemon.fakes;
 
 import io.heatherloft.daemon.fakes.FakeFleet.Host;
-import io.heatherloft.platform.configuration.ConfigurationHead;
-import io.heatherloft.platform.configuration.ConfigurationRepository;
-import io.heatherloft.platform.loop.Futures;
-import io.heatherloft.platform.store.StoreValue;
+import io.heatherloft.ports.configuration.ConfigurationHead;
+import io.heatherloft.ports.configuration.ConfigurationRepository;
+import io.heatherloft.ports.loop.Futures;
+import io.heatherloft.ports.store.StoreValue;
 import io.heatherloft.standins.EngineStandIn;
 import java.util.ArrayList;
 import java.util.HashMap;
--- a/daemon/src/test/java/io/heatherloft/daemon/fakes/Schedule.java
+++ b/daemon/src/test/java/io/heatherloft/daemon/fakes/Schedule.java
@@ -1,6 +1,6 @@
 package io.heatherloft.daemon.fakes;
 
-import io.heatherloft.platform.loop.Loop;
+import io.heatherloft.ports.loop.Loop;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
--- a/daemon/src/test/java/io/heatherloft/daemon/fakes/WrittenLedger.java
+++ b/daemon/src/test/java/io/heatherloft/daemon/fakes/WrittenLedger.java
@@ -4,7 +4,7 @@
 import io.heatherloft.domain.ledger.LedgerRecord;
 import io.heatherloft.peer.LedgerCodec;
 import io.heatherloft.peer.generated.LedgerBatch;
-import io.heatherloft.platform.store.StoreValue;
+import io.heatherloft.ports.store.StoreValue;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
--- a/demo/src/main/java/io/heatherloft/demo/DemoScript.java
+++ b/demo/src/main/java/io/heatherloft/demo/DemoScript.java
@@ -3,7 +3,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import io.heatherloft.cli.ExitCode;
 import io.heatherloft.daemon.request.RequestIds;
-import io.heatherloft.platform.http.JsonHttp;
+import io.heatherloft.ports.http.JsonHttp;
 import java.io.IOException;
 import java.io.PrintStream;
 import java.net.http.HttpResponse;
--- a/peer/src/main/java/io/heatherloft/peer/NettyPeerServer.java
+++ b/peer/src/main/java/io/heatherloft/peer/NettyPeerServer.java
@@ -2,8 +2,8 @@
 
 import io.heatherloft.peer.generated.Frame;
 import io.heatherloft.peer.generated.PeerReply;
-import io.heatherloft.platform.loop.Futures;
-import io.heatherloft.platform.loop.Loop;
+import io.heatherloft.ports.loop.Futures;
+import io.heatherloft.ports.loop.Loop;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.EventLoopGroup;
--- a/platform/src/main/java/io/heatherloft/platform/backend/BackendClient.java
+++ b/ports/src/main/java/io/heatherloft/ports/backend/BackendClient.java
@@ -1,4 +1,4 @@
-package io.heatherloft.platform.backend;
+package io.heatherloft.ports.backend;
 
 /**
  * Sends requests to backend servers. Confined to the loop's thread.
--- a/platform/src/main/java/io/heatherloft/platform/backend/BackendFailure.java
+++ b/ports/src/main/java/io/heatherloft/ports/backend/BackendFailure.java
@@ -1,4 +1,4 @@
-package io.heatherloft.platform.backend;
+package io.heatherloft.ports.backend;
 
 /**
  * Why an exchange with a backend server ended early. Immutable and safe for use by several threads.
--- a/platform/src/main/java/io/heatherloft/platform/backend/BackendListener.java
+++ b/ports/src/main/java/io/heatherloft/ports/backend/BackendListener.java
@@ -1,4 +1,4 @@
-package io.heatherloft.platform.backend;
+package io.heatherloft.ports.backend;
 
 import io.heatherloft.domain.Bytes;
 import java.util.concurrent.CompletableFuture;
--- a/platform/src/main/java/io/heatherloft/platform/backend/EngineOrders.java
+++ b/ports/src/main/java/io/heatherloft/ports/backend/EngineOrders.java
@@ -1,4 +1,4 @@
-package io.heatherloft.platform.backend;
+package io.heatherloft.ports.backend;
 
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
--- a/platform/src/main/java/io/heatherloft/platform/backend/HttpBackendClient.java
+++ b/ports/src/main/java/io/heatherloft/ports/backend/HttpBackendClient.java
@@ -1,4 +1,4 @@
-package io.heatherloft.platform.backend;
+package io.heatherloft.ports.backend;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
@@ -12,9 +12,9 @@
 import io.activej.http.HttpResponse;
 import io.activej.promise.Promise;
 import io.heatherloft.domain.Bytes;
-import io.heatherloft.platform.http.HttpClients;
-import io.heatherloft.platform.http.JsonHttp;
-import io.heatherloft.platform.loop.Futures;
+import io.heatherloft.ports.http.HttpClients;
+import io.heatherloft.ports.http.JsonHttp;
+import io.heatherloft.ports.loop.Futures;
 import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.concurrent.CompletableFuture;
--- a/platform/src/main/java/io/heatherloft/platform/backend/HttpEngineOrders.java
+++ b/ports/src/main/java/io/heatherloft/ports/backend/HttpEngineOrders.java
@@ -1,9 +1,9 @@
-package io.heatherloft.platform.backend;
+package io.heatherloft.ports.backend;
 
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.activej.http.IHttpClient;
-import io.heatherloft.platform.http.JsonHttp;
+import io.heatherloft.ports.http.JsonHttp;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
--- a/platform/src/main/java/io/heatherloft/platform/configuration/ConfigurationDocument.java
+++ b/ports/src/main/java/io/heatherloft/ports/configuration/ConfigurationDocument.java
@@ -1,4 +1,4 @@
-package io.heatherloft.platform.configuration;
+package io.heatherloft.ports.configuration;
 
 import io.heatherloft.domain.configuration.Configuration;
 import io.heatherloft.domain.configuration.ConfigurationFile;
--- a/platform/src/main/java/io/heatherloft/platform/configuration/ConfigurationHead.java
+++ b/ports/src/main/java/io/heatherloft/ports/configuration/ConfigurationHead.java
@@ -1,9 +1,9 @@
-package io.heatherloft.platform.configuration;
+package io.heatherloft.ports.configuration;
 
 import com.fasterxml.jackson.annotation.JsonIgnore;
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.google.common.hash.Hashing;
-import io.heatherloft.platform.http.JsonHttp;
+import io.heatherloft.ports.http.JsonHttp;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.stream.Collectors;
--- a/platform/src/main/java/io/heatherloft/platform/configuration/ConfigurationRepository.java
+++ b/ports/src/main/java/io/heatherloft/ports/configuration/ConfigurationRepository.java
@@ -1,13 +1,13 @@
-package io.heatherloft.platform.configuration;
+package io.heatherloft.ports.configuration;
 
 import io.heatherloft.domain.Bytes;
 import io.heatherloft.domain.configuration.ConfigurationFile;
-import io.heatherloft.platform.loop.Loop;
-import io.heatherloft.platform.store.KeyValueStore;
-import io.heatherloft.platform.store.SettledWrites;
-import io.heatherloft.platform.store.StoreUnavailableException;
-import io.heatherloft.platform.store.StoreValue;
-import io.heatherloft.platform.store.WriteOutcome;
+import io.heatherloft.ports.loop.Loop;
+import io.heatherloft.ports.store.KeyValueStore;
+import io.heatherloft.ports.store.SettledWrites;
+import io.heatherloft.ports.store.StoreUnavailableException;
+import io.heatherloft.ports.store.StoreValue;
+import io.heatherloft.ports.store.WriteOutcome;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
--- a/platform/src/main/java/io/heatherloft/platform/hosts/HostListing.java
+++ b/ports/src/main/java/io/heatherloft/ports/hosts/HostListing.java
@@ -1,4 +1,4 @@
-package io.heatherloft.platform.hosts;
+package io.heatherloft.ports.hosts;
 
 import io.heatherloft.domain.routing.BackendServer;
 import java.util.List;
--- a/platform/src/main/java/io/heatherloft/platform/hosts/HttpHostList.java
+++ b/ports/src/main/java/io/heatherloft/ports/hosts/HttpHostList.java
@@ -1,4 +1,4 @@
-package io.heatherloft.platform.hosts;
+package io.heatherloft.ports.hosts;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import io.activej.http.HttpHeaders;
@@ -7,7 +7,7 @@
 import io.activej.http.IHttpClient;
 import io.activej.promise.Promise;
 import io.heatherloft.domain.routing.BackendServer;
-import io.heatherloft.platform.http.JsonHttp;
+import io.heatherloft.ports.http.JsonHttp;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
--- a/platform/src/main/java/io/heatherloft/platform/http/HttpClients.java
+++ b/ports/src/main/java/io/heatherloft/ports/http/HttpClients.java
@@ -1,4 +1,4 @@
-package io.heatherloft.platform.http;
+package io.heatherloft.ports.http;
 
 import io.activej.dns.DnsClient;
 import io.activej.http.HttpClient;
--- a/platform/src/main/java/io/heatherloft/platform/http/JsonHttp.java
+++ b/ports/src/main/java/io/heatherloft/ports/http/JsonHttp.java
@@ -1,4 +1,4 @@
-package io.heatherloft.platform.http;
+package io.heatherloft.ports.http;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
--- a/platform/src/main/java/io/heatherloft/platform/http/LineSplitter.java
+++ b/ports/src/main/java/io/heatherloft/ports/http/LineSplitter.java
@@ -1,4 +1,4 @@
-package io.heatherloft.platform.http;
+package io.heatherloft.ports.http;
 
 import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
--- a/platform/src/main/java/io/heatherloft/platform/loop/EventloopLoop.java
+++ b/ports/src/main/java/io/heatherloft/ports/loop/EventloopLoop.java
@@ -1,4 +1,4 @@
-package io.heatherloft.platform.loop;
+package io.heatherloft.ports.loop;
 
 import io.activej.reactor.nio.NioReactor;
 import io.activej.reactor.schedule.ScheduledRunnable;
--- a/platform/src/main/java/io/heatherloft/platform/loop/Futures.java
+++ b/ports/src/main/java/io/heatherloft/ports/loop/Futures.java
@@ -1,4 +1,4 @@
-package io.heatherloft.platform.loop;
+package io.heatherloft.ports.loop;
 
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
--- a/platform/src/main/java/io/heatherloft/platform/loop/Loop.java
+++ b/ports/src/main/java/io/heatherloft/ports/loop/Loop.java
@@ -1,4 +1,4 @@
-package io.heatherloft.platform.loop;
+package io.heatherloft.ports.loop;
 
 /**
  * The one thread on which a process makes its decisions, with its clock.
--- a/platform/src/main/java/io/heatherloft/platform/loop/RepeatingTask.java
+++ b/ports/src/main/java/io/heatherloft/ports/loop/RepeatingTask.java
@@ -1,4 +1,4 @@
-package io.heatherloft.platform.loop;
+package io.heatherloft.ports.loop;
 
 /**
  * Schedules a task again after each run, until it is cancelled.
--- a/platform/src/main/java/io/heatherloft/platform/rating/HttpRatingService.java
+++ b/ports/src/main/java/io/heatherloft/ports/rating/HttpRatingService.java
@@ -1,8 +1,8 @@
-package io.heatherloft.platform.rating;
+package io.heatherloft.ports.rating;
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.activej.http.IHttpClient;
-import io.heatherloft.platform.http.JsonHttp;
+import io.heatherloft.ports.http.JsonHttp;
 import java.util.concurrent.CompletableFuture;
 
 /**
--- a/platform/src/main/java/io/heatherloft/platform/rating/RatingService.java
+++ b/ports/src/main/java/io/heatherloft/ports/rating/RatingService.java
@@ -1,4 +1,4 @@
-package io.heatherloft.platform.rating;
+package io.heatherloft.ports.rating;
 
 import java.util.concurrent.CompletableFuture;
 
--- a/platform/src/main/java/io/heatherloft/platform/store/EtcdGatewayStore.java
+++ b/ports/src/main/java/io/heatherloft/ports/store/EtcdGatewayStore.java
@@ -1,4 +1,4 @@
-package io.heatherloft.platform.store;
+package io.heatherloft.ports.store;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ArrayNode;
@@ -6,10 +6,10 @@
 import io.activej.http.HttpClient;
 import io.activej.http.HttpRequest;
 import io.heatherloft.domain.Bytes;
-import io.heatherloft.platform.http.HttpClients;
-import io.heatherloft.platform.http.JsonHttp;
-import io.heatherloft.platform.loop.Futures;
-import io.heatherloft.platform.loop.Loop;
+import io.heatherloft.ports.http.HttpClients;
+import io.heatherloft.ports.http.JsonHttp;
+import io.heatherloft.ports.loop.Futures;
+import io.heatherloft.ports.loop.Loop;
 import java.util.ArrayList;
 import java.util.Base64;
 import java.util.List;
--- a/platform/src/main/java/io/heatherloft/platform/store/EtcdWatch.java
+++ b/ports/src/main/java/io/heatherloft/ports/store/EtcdWatch.java
@@ -1,4 +1,4 @@
-package io.heatherloft.platform.store;
+package io.heatherloft.ports.store;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
@@ -6,8 +6,8 @@
 import io.activej.csp.supplier.ChannelSupplier;
 import io.activej.http.HttpResponse;
 import io.activej.promise.Promise;
-import io.heatherloft.platform.http.JsonHttp;
-import io.heatherloft.platform.http.LineSplitter;
+import io.heatherloft.ports.http.JsonHttp;
+import io.heatherloft.ports.http.LineSplitter;
 
 /**
  * A watch on the JSON gateway: one JSON document a line, for as long as the answer lasts.
--- a/platform/src/main/java/io/heatherloft/platform/store/SettledWrites.java
+++ b/ports/src/main/java/io/heatherloft/ports/store/SettledWrites.java
@@ -1,8 +1,8 @@
-package io.heatherloft.platform.store;
+package io.heatherloft.ports.store;
 
 import io.heatherloft.domain.Bytes;
-import io.heatherloft.platform.loop.Futures;
-import io.heatherloft.platform.loop.Loop;
+import io.heatherloft.ports.loop.Futures;
+import io.heatherloft.ports.loop.Loop;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
--- a/platform/src/main/java/io/heatherloft/platform/store/StoreUnavailableException.java
+++ b/ports/src/main/java/io/heatherloft/ports/store/StoreUnavailableException.java
@@ -1,4 +1,4 @@
-package io.heatherloft.platform.store;
+package io.heatherloft.ports.store;
 
 /** A read, or a call on a lease, that the key-value service did not answer. */
 public final class StoreUnavailableException extends Exception {
--- a/platform/src/main/java/io/heatherloft/platform/store/StoreValue.java
+++ b/ports/src/main/java/io/heatherloft/ports/store/StoreValue.java
@@ -1,4 +1,4 @@
-package io.heatherloft.platform.store;
+package io.heatherloft.ports.store;
 
 import io.heatherloft.domain.Bytes;
 
--- a/platform/src/main/java/io/heatherloft/platform/store/WriteOutcome.java
+++ b/ports/src/main/java/io/heatherloft/ports/store/WriteOutcome.java
@@ -1,4 +1,4 @@
-package io.heatherloft.platform.store;
+package io.heatherloft.ports.store;
 
 /**
  * What became of a write. Immutable and safe for use by several threads.
--- a/standins/src/main/java/io/heatherloft/standins/HostListStandIn.java
+++ b/standins/src/main/java/io/heatherloft/standins/HostListStandIn.java
@@ -7,7 +7,7 @@
 import io.activej.http.HttpRequest;
 import io.activej.http.HttpResponse;
 import io.activej.promise.Promise;
-import io.heatherloft.platform.http.JsonHttp;
+import io.heatherloft.ports.http.JsonHttp;
 import java.util.LinkedHashMap;
 import java.util.Map;
 
--- a/standins/src/main/java/io/heatherloft/standins/MemoryStore.java
+++ b/standins/src/main/java/io/heatherloft/standins/MemoryStore.java
@@ -1,7 +1,7 @@
 package io.heatherloft.standins;
 
 import io.heatherloft.domain.Bytes;
-import io.heatherloft.platform.store.StoreValue;
+import io.heatherloft.ports.store.StoreValue;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
--- a/standins/src/main/java/io/heatherloft/standins/PlainServiceStandIn.java
+++ b/standins/src/main/java/io/heatherloft/standins/PlainServiceStandIn.java
@@ -6,7 +6,7 @@
 import io.activej.http.HttpRequest;
 import io.activej.http.HttpResponse;
 import io.activej.promise.Promise;
-import io.heatherloft.platform.http.JsonHttp;
+import io.heatherloft.ports.http.JsonHttp;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
--- a/standins/src/main/java/io/heatherloft/standins/RatingStandIn.java
+++ b/standins/src/main/java/io/heatherloft/standins/RatingStandIn.java
@@ -4,7 +4,7 @@
 import io.activej.http.HttpRequest;
 import io.activej.http.HttpResponse;
 import io.activej.promise.Promise;
-import io.heatherloft.platform.http.JsonHttp;
+import io.heatherloft.ports.http.JsonHttp;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
--- a/standins/src/main/java/io/heatherloft/standins/StandInServer.java
+++ b/standins/src/main/java/io/heatherloft/standins/StandInServer.java
@@ -9,7 +9,7 @@
 import io.activej.http.HttpServer;
 import io.activej.promise.Promise;
 import io.activej.promise.Promises;
-import io.heatherloft.platform.http.JsonHttp;
+import io.heatherloft.ports.http.JsonHttp;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
