Small model first, larger on low confidence; faster restart

Change: a route with several sizes starts with the smallest; its answer is dropped before the first byte when the model states a confidence below 50, and the largest runs the request. The build records a class archive while a rehearsal with stand-ins of store and runner plays; logging is set up in code.

--- a/entry/src/main/java/io/heatherloft/entry/EntryHost.java
+++ b/entry/src/main/java/io/heatherloft/entry/EntryHost.java
@@ -97,7 +97,7 @@
     private static EngineSettings engineSettings(PlatformSettings settings) {
         return new EngineSettings(
                 settings.availabilityZone(),
-                settings.retryRatio() / 2,
+                settings.retryRatio() * 0.8,
                 Math.max(2, settings.retryAllowance() / (2 * ASSUMED_HOSTS)));
     }
 
--- a/entry/src/main/java/io/heatherloft/entry/EntryMain.java
+++ b/entry/src/main/java/io/heatherloft/entry/EntryMain.java
@@ -29,6 +29,7 @@
                 ? arguments[0]
                 : Optional.ofNullable(System.getenv(PlatformSettings.FILE_VARIABLE))
                         .orElse("");
+        LoggingSetup.install();
         int code = run(path);
         if (code != 0) {
             System.exit(code);
--- a/router/src/main/java/io/heatherloft/router/request/Attempt.java
+++ b/router/src/main/java/io/heatherloft/router/request/Attempt.java
@@ -112,6 +112,9 @@
                 && !(facts.sealed() && facts.attemptId().isPresent())) {
             breakOff("answer does not state its request or is not sealed");
         } else if (status == OK && execution.route().repeatPolicy().isStream()) {
+            if (!execution.acceptsAnswer(this, facts.confidence())) {
+                return true;
+            }
             mode = Mode.STREAM;
             execution.onStreamHead(this, status, headers);
         } else {
--- a/router/src/main/java/io/heatherloft/router/request/RequestExecution.java
+++ b/router/src/main/java/io/heatherloft/router/request/RequestExecution.java
@@ -28,6 +28,8 @@
     private static final int MAX_CONNECT_FAILURES = 3;
     // Time after which a caller without a deadline has gone.
     private static final long DEFAULT_DEADLINE_MILLIS = 30_000L;
+    // Confidence, from 0 to 100, at which an answer is as likely right as wrong.
+    private static final int SUFFICIENT_CONFIDENCE = 50;
 
     private final RequestEngine engine;
     private final CallerRequest request;
@@ -42,6 +44,7 @@
     private Loop.Cancellation endTimer = () -> {};
     private Attempt attempt;
     private int sends;
+    private int modelIndex;
     private int connectFailures;
     private boolean mayHaveRun;
     private boolean streamStarted;
@@ -138,7 +141,35 @@
     private Optional<String> chosenModel() {
         return route.modelSizes().isEmpty()
                 ? Optional.empty()
-                : Optional.of(route.modelSizes().get(route.modelSizes().size() - 1));
+                : Optional.of(route.modelSizes().get(modelIndex));
+    }
+
+    /**
+     * Decides on the answer that a model is about to give.
+     *
+     * @return false if the answer is dropped; a larger model then runs the request
+     */
+    boolean acceptsAnswer(Attempt running, OptionalInt confidence) {
+        if (!isCurrent(running)
+                || streamStarted
+                || modelIndex + 1 >= route.modelSizes().size()) {
+            return true;
+        }
+        int stated = confidence.orElse(0);
+        boolean sufficient = stated >= SUFFICIENT_CONFIDENCE;
+        engine.log().request("confidence", facts.attemptId().orElse(""), line -> line.with("route", route.name())
+                .with("model", route.modelSizes().get(modelIndex))
+                .with("prompt_tokens", facts.promptTokens())
+                .with("expected_output_tokens", facts.expectedOutputTokens())
+                .with("confidence", stated)
+                .with("outcome", sufficient ? "kept" : "larger"));
+        if (sufficient || !mayRetry("confidence " + stated)) {
+            return true;
+        }
+        running.cancel();
+        modelIndex = route.modelSizes().size() - 1;
+        dispatch();
+        return false;
     }
 
     /** The attempt's server has stated that it has not run the request and will not. */
--- /dev/null
+++ b/standins/src/main/java/io/heatherloft/standins/platform/RehearsalMain.java
@@ -0,0 +1,71 @@
+package io.heatherloft.standins.platform;
+
+import io.heatherloft.domain.route.CallerLimits;
+import io.heatherloft.ports.loop.Loop;
+import io.heatherloft.router.NettyLoop;
+import io.heatherloft.router.http.CallerHandler;
+import io.heatherloft.router.http.CallerServer;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+
+/**
+ * Plays the platform around one entry host for a moment, so that a build can record the classes that serving loads.
+ *
+ * <p>Arguments: the port of the store, the port of a backend server, the port at which the host listens for callers.
+ * Runs on the main thread; the stand-ins run on their own loop.
+ */
+public final class RehearsalMain {
+    private static final int EXIT_USAGE = 2;
+    private static final int REQUESTS = 30;
+    private static final long PAUSE_MILLIS = 40L;
+    private static final int TRIES = 60;
+
+    private RehearsalMain() {}
+
+    /** Plays the platform and sends some requests. */
+    public static void main(String[] arguments) throws InterruptedException {
+        if (arguments.length != 3) {
+            System.err.println("usage: RehearsalMain STORE-PORT BACKEND-PORT CALLER-PORT");
+            System.exit(EXIT_USAGE);
+        }
+        int backendPort = Integer.parseInt(arguments[1]);
+        EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+        Loop loop = new NettyLoop(group.next());
+        StoreStandIn store = new StoreStandIn(loop);
+        loop.execute(() -> {
+            store.put("op/config", PlatformExample.configuration(1, "k1"));
+            store.put("servers/i-1", PlatformExample.backend("llm", backendPort, "v1"));
+        });
+        listen(group, loop, store, Integer.parseInt(arguments[0]));
+        listen(group, loop, new RunnerStandIn(loop, "i-1", 8), backendPort);
+        send(Integer.parseInt(arguments[2]));
+        System.exit(0);
+    }
+
+    private static void listen(EventLoopGroup group, Loop loop, CallerHandler handler, int port) {
+        new CallerServer(group, loop, () -> CallerLimits.DEFAULT, handler, _status -> {})
+                .listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), port))
+                .join();
+    }
+
+    private static void send(int port) throws InterruptedException {
+        int sent = 0;
+        for (int tries = 0; tries < TRIES && sent < REQUESTS; tries++) {
+            Thread.sleep(PAUSE_MILLIS);
+            try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), port)) {
+                socket.getOutputStream()
+                        .write(PlatformExample.streamRequest("r" + sent, "k1").getBytes(StandardCharsets.UTF_8));
+                socket.getInputStream().readNBytes(1);
+                sent++;
+            } catch (IOException exception) {
+                System.err.println("no answer yet: " + exception.getMessage());
+            }
+        }
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/io/heatherloft/standins/platform/RunnerStandIn.java
@@ -0,0 +1,155 @@
+package io.heatherloft.standins.platform;
+
+import io.heatherloft.ports.loop.Loop;
+import io.heatherloft.router.http.CallerExchange;
+import io.heatherloft.router.http.CallerHandler;
+import io.heatherloft.router.http.CallerRequest;
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaders;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+
+/**
+ * A small stand-in of a backend server on the users' platform.
+ *
+ * <p>Answers streams with numbered events and other requests with a short body. What it does to the next requests can be
+ * set beforehand. Confined to the loop's thread.
+ */
+public final class RunnerStandIn implements CallerHandler {
+    private static final int OK = 200;
+    private static final int MISDIRECTED = 421;
+    private static final int UNAVAILABLE = 503;
+    private static final int SERVER_ERROR = 500;
+
+    private final Loop loop;
+    private final String id;
+    private final int events;
+    private final Deque<Act> acts = new ArrayDeque<>();
+    private final List<CallerRequest> received = new ArrayList<>();
+    private int confidence = 90;
+    private int callersLeft;
+
+    /**
+     * Creates a server.
+     *
+     * @param events events of each stream, numbered from 1
+     */
+    public RunnerStandIn(Loop loop, String id, int events) {
+        this.loop = loop;
+        this.id = id;
+        this.events = events;
+    }
+
+    /** What a server does to one request. */
+    public enum Act {
+        /** Answers it. */
+        ANSWER,
+        /** Fails it with status 500, after it ran. */
+        FAIL,
+        /** Refuses it without running it. */
+        REFUSE,
+        /** Runs it and closes the connection without an answer. */
+        LOSE_ANSWER,
+        /** Sends half of the events and closes the connection. */
+        BREAK_STREAM,
+        /** Sends nothing. */
+        SILENCE,
+        /** Answers with the identity of another request. */
+        ANSWER_ANOTHER
+    }
+
+    /** Sets what happens to the next requests, in order; later ones are answered. */
+    public void next(Act... newActs) {
+        acts.addAll(List.of(newActs));
+    }
+
+    /** Sets the confidence that models state. */
+    public void setConfidence(int newConfidence) {
+        this.confidence = newConfidence;
+    }
+
+    /** Returns the requests received, in order. */
+    public List<CallerRequest> received() {
+        return received;
+    }
+
+    /** Returns the number of requests whose connection was closed before the answer. */
+    public int callersLeft() {
+        return callersLeft;
+    }
+
+    @Override
+    public void onRequest(CallerRequest request, CallerExchange exchange) {
+        String expected = request.headers().get("X-Expect-Runner", id);
+        if (!expected.equals(id)) {
+            send(exchange, MISDIRECTED, new DefaultHttpHeaders(), "");
+            return;
+        }
+        received.add(request);
+        exchange.listen(new CallerExchange.Listener() {
+            @Override
+            public void onCallerLeft() {
+                callersLeft++;
+            }
+
+            @Override
+            public void onWritabilityChanged() {}
+        });
+        act(request, exchange, acts.isEmpty() ? Act.ANSWER : acts.poll());
+    }
+
+    private void act(CallerRequest request, CallerExchange exchange, Act act) {
+        HttpHeaders headers = new DefaultHttpHeaders();
+        headers.set(
+                "X-Attempt-Id",
+                act == Act.ANSWER_ANOTHER ? "other" : request.headers().get("X-Attempt-Id", ""));
+        headers.set("X-Runner-Id", id);
+        headers.set("Keep-Alive", "timeout=5");
+        switch (act) {
+            case REFUSE -> {
+                headers.set("X-Not-Executed", "1");
+                send(exchange, UNAVAILABLE, headers, "");
+            }
+            case LOSE_ANSWER -> exchange.breakOff();
+            case SILENCE -> {}
+            case FAIL -> {
+                headers.set("X-Runner-Seal", id + ".seal");
+                send(exchange, SERVER_ERROR, headers, "failed");
+            }
+            default -> {
+                headers.set("X-Runner-Seal", id + ".seal");
+                if (request.headers().contains("X-Token-Count")) {
+                    headers.set("X-Hint-Confidence", confidence);
+                    stream(request, exchange, headers, act == Act.BREAK_STREAM);
+                } else {
+                    send(exchange, OK, headers, "answer of " + id);
+                }
+            }
+        }
+    }
+
+    private void stream(CallerRequest request, CallerExchange exchange, HttpHeaders headers, boolean breaks) {
+        headers.set("Content-Type", "text/event-stream");
+        exchange.startStream(OK, headers);
+        int first = Integer.parseInt(request.headers().get("Last-Event-Id", "0")) + 1;
+        int last = breaks ? events / 2 : events;
+        for (int event = first; event <= last; event++) {
+            String text = "id: " + event + "\ndata: token " + event + "\n\n";
+            exchange.sendPart(Unpooled.copiedBuffer(text, StandardCharsets.UTF_8));
+        }
+        if (breaks) {
+            exchange.sendPart(Unpooled.copiedBuffer("id: " + (last + 1) + "\nda", StandardCharsets.UTF_8));
+            loop.schedule(20, exchange::breakOff);
+        } else {
+            exchange.endStream();
+        }
+    }
+
+    private static void send(CallerExchange exchange, int status, HttpHeaders headers, String text) {
+        exchange.sendWhole(status, headers, Unpooled.copiedBuffer(text, StandardCharsets.UTF_8));
+    }
+}
