Hosts listen before anything else, and log from a thread of its own

Change: log lines go through a bounded queue to a thread that starts 1.5 s after the process; callers that arrive before the first configuration wait up to a second; the grace for lapsed entries counts from the store's return; a drained connection closes after its answer. Ruled out: reading log settings from XML faster (classes are archived; the cost is set-up).

--- a/entry/src/main/java/io/heatherloft/entry/EntryHost.java
+++ b/entry/src/main/java/io/heatherloft/entry/EntryHost.java
@@ -19,6 +19,7 @@
 import io.heatherloft.router.fleet.VersionPolicies;
 import io.heatherloft.router.http.CallerServer;
 import io.heatherloft.router.log.DecisionLog;
+import io.heatherloft.router.log.LineQueue;
 import io.heatherloft.router.request.EngineSettings;
 import io.heatherloft.router.request.RequestEngine;
 import io.netty.channel.EventLoopGroup;
@@ -43,6 +44,8 @@
     // Time before the end of the grace period at which open streams are broken off, for their callers to resume.
     private static final long LAST_MOMENT_MILLIS = 700L;
     private static final long STOP_POLL_MILLIS = 50L;
+    // Setting up the logging library takes as long as all the rest of a start, so it waits until callers are served.
+    private static final long LOG_DELAY_MILLIS = 1_500L;
     // Hosts that share the fleet's retry budget until their number is known.
     private static final int ASSUMED_HOSTS = 6;
 
@@ -50,6 +53,7 @@
     private final EventLoopGroup group;
     private final Loop loop;
     private final DecisionLog log;
+    private final LineQueue lines = new LineQueue(LOG_DELAY_MILLIS, LoggingSetup::install);
     private final FleetKnowledge knowledge;
     private final RolloutDriver rollouts;
     private final RequestEngine engine;
@@ -63,7 +67,7 @@
         this.group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
         this.loop = new NettyLoop(group.next());
         MetricRegistry metrics = new MetricRegistry();
-        this.log = new DecisionLog(loop, settings.hostName(), metrics);
+        this.log = new DecisionLog(loop, settings.hostName(), metrics, lines::offer);
         BackendPool storePool = new BackendPool(group, loop, PoolSettings.DEFAULT);
         PlatformStore store = new PlatformStore(
                 loop,
@@ -109,8 +113,8 @@
     static EntryHost start(PlatformSettings settings) {
         EntryHost host = new EntryHost(settings);
         try {
-            host.listen(host.operations, settings.readyAddress()).join();
             host.listen(host.callers, settings.callerAddress()).join();
+            host.listen(host.operations, settings.readyAddress()).join();
             host.listen(host.metricsServer, settings.ipNumber() + ":" + METRICS_PORT)
                     .join();
         } catch (CompletionException exception) {
@@ -133,6 +137,7 @@
                         "jvm_uptime_ms",
                         java.lang.management.ManagementFactory.getRuntimeMXBean()
                                 .getUptime()));
+        lines.start();
         knowledge.start();
         rollouts.start();
     }
@@ -146,6 +151,11 @@
         loop.execute(() -> log.lifecycle("reload", line -> line.with("outcome", "unchanged")));
     }
 
+    /** Writes the log lines that are left; called when the host has stopped. */
+    void finishLog() {
+        lines.finish();
+    }
+
     /** Stops in order: no request in progress is cut off before the last moment. May be called by any thread. */
     CompletableFuture<Void> stop() {
         CompletableFuture<Void> stopped = new CompletableFuture<>();
--- a/entry/src/main/java/io/heatherloft/entry/EntryMain.java
+++ b/entry/src/main/java/io/heatherloft/entry/EntryMain.java
@@ -3,6 +3,8 @@
 import io.heatherloft.domain.configuration.ConfigurationFile;
 import io.heatherloft.domain.configuration.Finding;
 import io.heatherloft.platform.PlatformSettings;
+import io.netty.util.internal.logging.InternalLoggerFactory;
+import io.netty.util.internal.logging.JdkLoggerFactory;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -29,7 +31,8 @@
                 ? arguments[0]
                 : Optional.ofNullable(System.getenv(PlatformSettings.FILE_VARIABLE))
                         .orElse("");
-        LoggingSetup.install();
+        // The network library would otherwise set up the logging library before the first connection.
+        InternalLoggerFactory.setDefaultFactory(JdkLoggerFactory.INSTANCE);
         int code = run(path);
         if (code != 0) {
             System.exit(code);
@@ -67,6 +70,7 @@
         // Without the halt the process would end with the signal's code after an orderly stop.
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
             host.stop().join();
+            host.finishLog();
             Runtime.getRuntime().halt(0);
         }));
         HangupSignal.handle(host::reload);
--- a/entry/src/main/java/io/heatherloft/entry/HangupSignal.java
+++ b/entry/src/main/java/io/heatherloft/entry/HangupSignal.java
@@ -2,7 +2,6 @@
 
 import java.lang.reflect.Proxy;
 import org.apache.logging.log4j.LogManager;
-import org.apache.logging.log4j.Logger;
 
 /**
  * Handles SIGHUP, which would otherwise end the process.
@@ -11,8 +10,6 @@
  * Stateless and safe for use by several threads.
  */
 final class HangupSignal {
-    private static final Logger LOG = LogManager.getLogger(HangupSignal.class);
-
     private HangupSignal() {}
 
     /** Runs a task at each SIGHUP, on a thread of the JDK's. */
@@ -33,7 +30,7 @@
             Object signal = signalClass.getConstructor(String.class).newInstance("HUP");
             signalClass.getMethod("handle", signalClass, handlerClass).invoke(null, signal, handler);
         } catch (ReflectiveOperationException exception) {
-            LOG.error("SIGHUP is not handled", exception);
+            LogManager.getLogger(HangupSignal.class).error("SIGHUP is not handled", exception);
         }
     }
 }
--- a/entry/src/main/java/io/heatherloft/entry/LoggingSetup.java
+++ b/entry/src/main/java/io/heatherloft/entry/LoggingSetup.java
@@ -8,15 +8,12 @@
 import org.apache.logging.log4j.core.config.builder.impl.BuiltConfiguration;
 
 /**
- * Sends log lines to standard output without ever waiting for it.
+ * Sends log lines to standard output, one JSON object each.
  *
  * <p>Set up in code, since reading a file costs a restarting host a tenth of a second. Stateless.
  */
 final class LoggingSetup {
-    // Lines that wait for the output; what does not fit is dropped.
-    private static final int QUEUE_LINES = 2_048;
     private static final String CONSOLE = "console";
-    private static final String QUEUE = "queue";
 
     private LoggingSetup() {}
 
@@ -30,12 +27,8 @@
                 .add(builder.newLayout("PatternLayout")
                         .addAttribute("pattern", "%m{JSON}%n%xThrowable{short}")
                         .addAttribute("alwaysWriteExceptions", false)));
-        builder.add(builder.newAppender(QUEUE, "Async")
-                .addAttribute("blocking", false)
-                .addAttribute("bufferSize", QUEUE_LINES)
-                .addComponent(builder.newAppenderRef(CONSOLE)));
         builder.add(builder.newLogger("io.netty", Level.ERROR));
-        builder.add(builder.newRootLogger(Level.INFO).add(builder.newAppenderRef(QUEUE)));
+        builder.add(builder.newRootLogger(Level.INFO).add(builder.newAppenderRef(CONSOLE)));
         Configurator.initialize(builder.build(false));
     }
 }
--- a/entry/src/main/java/io/heatherloft/entry/MetricsHandler.java
+++ b/entry/src/main/java/io/heatherloft/entry/MetricsHandler.java
@@ -13,7 +13,6 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import org.apache.logging.log4j.LogManager;
-import org.apache.logging.log4j.Logger;
 
 /**
  * Serves the host's metrics as text.
@@ -21,7 +20,6 @@
  * <p>Confined to the loop's thread.
  */
 final class MetricsHandler implements CallerHandler {
-    private static final Logger LOG = LogManager.getLogger(MetricsHandler.class);
     private static final int OK = 200;
     private static final int SERVER_ERROR = 500;
 
@@ -40,7 +38,7 @@
             headers.set(HttpHeaderNames.CONTENT_TYPE, PrometheusTextFormatWriter.CONTENT_TYPE);
             exchange.sendWhole(OK, headers, Unpooled.wrappedBuffer(text.toByteArray()));
         } catch (IOException exception) {
-            LOG.error("metrics cannot be written", exception);
+            LogManager.getLogger(MetricsHandler.class).error("metrics cannot be written", exception);
             exchange.sendWhole(SERVER_ERROR, headers, Unpooled.EMPTY_BUFFER);
         }
     }
--- a/ports/src/main/java/io/heatherloft/ports/loop/Futures.java
+++ b/ports/src/main/java/io/heatherloft/ports/loop/Futures.java
@@ -19,11 +19,15 @@
  * <p>Invariant: a callback runs at most once. Safe for use by several threads.
  */
 public final class Futures {
-    private static final Logger LOG = LogManager.getLogger(Futures.class);
     private static final ThreadLocal<Integer> FAILED_CALLBACKS = ThreadLocal.withInitial(() -> 0);
 
     private Futures() {}
 
+    // Looked up at each use: faults are rare, and setting up the logging library would delay a starting process.
+    private static Logger log() {
+        return LogManager.getLogger(Futures.class);
+    }
+
     /** Calls back with the result or, if the future fails, with the cause of the failure. */
     public static <T> void onComplete(CompletableFuture<T> future, BiConsumer<T, Throwable> callback) {
         CompletableFuture<T> attached = future.whenComplete((result, failure) -> {
@@ -31,11 +35,11 @@
                 callback.accept(result, causeOf(failure));
             } catch (RuntimeException | AssertionError fault) {
                 FAILED_CALLBACKS.set(FAILED_CALLBACKS.get() + 1);
-                LOG.error("callback failed", fault);
+                log().error("callback failed", fault);
             }
         });
         if (attached.isCancelled()) {
-            LOG.debug("future was cancelled");
+            log().debug("future was cancelled");
         }
     }
 
--- a/router/src/main/java/io/heatherloft/router/fleet/FleetKnowledge.java
+++ b/router/src/main/java/io/heatherloft/router/fleet/FleetKnowledge.java
@@ -21,7 +21,7 @@
  */
 public final class FleetKnowledge {
     // Time within which servers whose entries lapsed while the store was away write them again.
-    private static final long REJOIN_MILLIS = 2_200L;
+    private static final long REJOIN_MILLIS = 2_000L;
 
     private final Loop loop;
     private final StoredFormats formats;
@@ -195,24 +195,21 @@
 
         @Override
         public void onDelete(String key, long revision) {
-            boolean lapsedInOutage = loop.nowMillis() - backendsRegainedMillis < REJOIN_MILLIS;
-            if (lapsedInOutage) {
-                onMissing(key, revision);
-            } else {
-                registry.remove(key.substring(formats.backendPrefix().length()), revision);
-            }
+            onMissing(key, revision);
         }
 
         @Override
         public void onMissing(String key, long revision) {
             String id = key.substring(formats.backendPrefix().length());
             registry.find(id).ifPresent(server -> {
-                if (server.entry().draining()) {
+                // Counted from the return of the store: what is deleted after that time did not lapse in an outage.
+                long graceMillis = backendsRegainedMillis + REJOIN_MILLIS - loop.nowMillis();
+                if (server.entry().draining() || graceMillis <= 0) {
                     registry.remove(id, revision);
                     return;
                 }
                 server.markMissing();
-                loop.schedule(REJOIN_MILLIS, () -> {
+                loop.schedule(graceMillis, () -> {
                     if (registry.find(id).filter(BackendServerState::isMissing).isPresent()) {
                         registry.remove(id, revision);
                     }
--- a/router/src/main/java/io/heatherloft/router/http/CallerConnection.java
+++ b/router/src/main/java/io/heatherloft/router/http/CallerConnection.java
@@ -365,6 +365,11 @@
             }
         }
 
+        @Override
+        public boolean hasEnded() {
+            return ended;
+        }
+
         @Override
         public boolean isWritable() {
             return channel.isWritable();
@@ -386,7 +391,8 @@
         private void end() {
             ended = true;
             listener = NOBODY;
-            onExchangeEnded(this, keepAlive);
+            // The header of a stream may have left before the drain began.
+            onExchangeEnded(this, keepAlive && !server.isDraining());
         }
     }
 
--- a/router/src/main/java/io/heatherloft/router/http/CallerExchange.java
+++ b/router/src/main/java/io/heatherloft/router/http/CallerExchange.java
@@ -25,6 +25,9 @@
     /** Closes the connection so that the answer does not look complete. */
     void breakOff();
 
+    /** Returns true if the final answer was given or the caller has left. */
+    boolean hasEnded();
+
     /** Returns false while the caller reads too slowly for more parts to be sent. */
     boolean isWritable();
 
--- a/router/src/main/java/io/heatherloft/router/log/DecisionLog.java
+++ b/router/src/main/java/io/heatherloft/router/log/DecisionLog.java
@@ -4,8 +4,7 @@
 import com.codahale.metrics.MetricRegistry;
 import io.heatherloft.ports.loop.Loop;
 import java.util.function.Consumer;
-import org.apache.logging.log4j.LogManager;
-import org.apache.logging.log4j.Logger;
+import java.util.function.Predicate;
 import org.apache.logging.log4j.message.StringMapMessage;
 
 /**
@@ -18,19 +17,24 @@
     /** Lines written in a second; ten times the lines of a host's share of the peak of 8,900 requests on 360 hosts. */
     public static final int LINES_PER_SECOND = 500;
 
-    private static final Logger LOG = LogManager.getLogger(DecisionLog.class);
     private static final long MILLIS_PER_SECOND = 1_000L;
 
     private final Loop loop;
     private final String host;
+    private final Predicate<StringMapMessage> sink;
     private final Counter written;
     private final Counter dropped;
     private double allowance = LINES_PER_SECOND;
     private long filledAtMillis;
     private long unreported;
 
-    /** Creates a log for a host. */
-    public DecisionLog(Loop loop, String host, MetricRegistry metrics) {
+    /**
+     * Creates a log for a host.
+     *
+     * @param sink takes a line without waiting; returns false if it has no room
+     */
+    public DecisionLog(Loop loop, String host, MetricRegistry metrics, Predicate<StringMapMessage> sink) {
+        this.sink = sink;
         this.loop = loop;
         this.host = host;
         this.written = metrics.counter("log_lines_written_total");
@@ -72,8 +76,12 @@
             line.with("lines_dropped_before", unreported);
             unreported = 0;
         }
-        written.inc();
-        LOG.info(line);
+        if (sink.test(line)) {
+            written.inc();
+        } else {
+            dropped.inc();
+            unreported++;
+        }
     }
 
     private boolean take() {
--- a/router/src/main/java/io/heatherloft/router/request/RequestEngine.java
+++ b/router/src/main/java/io/heatherloft/router/request/RequestEngine.java
@@ -24,6 +24,11 @@
  * <p>Invariant: each request gets one final answer. Confined to the loop's thread.
  */
 public final class RequestEngine implements CallerHandler {
+    // Time from the start of a process within which the store usually answers; requests wait for it that long.
+    private static final long START_MILLIS = 1_000L;
+    private static final long START_POLL_MILLIS = 10L;
+
+    private final long createdAtMillis;
     private final Loop loop;
     private final FleetKnowledge knowledge;
     private final HeaderDialect dialect;
@@ -49,6 +54,7 @@
             DecisionLog log,
             MetricRegistry metrics) {
         this.loop = loop;
+        this.createdAtMillis = loop.nowMillis();
         this.knowledge = knowledge;
         this.dialect = dialect;
         this.pool = pool;
@@ -62,6 +68,15 @@
 
     @Override
     public void onRequest(CallerRequest request, CallerExchange exchange) {
+        boolean starting = !knowledge.isComplete() && loop.nowMillis() - createdAtMillis < START_MILLIS;
+        if (starting && !exchange.hasEnded()) {
+            loop.schedule(START_POLL_MILLIS, () -> onRequest(request, exchange));
+        } else if (!exchange.hasEnded()) {
+            admit(request, exchange);
+        }
+    }
+
+    private void admit(CallerRequest request, CallerExchange exchange) {
         RequestFacts facts = dialect.readRequest(request.headers());
         Optional<RoutingConfiguration> configuration = knowledge.configuration();
         if (configuration.isEmpty()) {
