Hosts tell each other configuration, servers, roll-outs, loads and version counts

Cause: with the store refusing some hosts these served old keys and servers; the answers of a bad version were judged by each host alone; the load of a server was known by each host's own requests only.

--- a/domain/src/main/java/io/heatherloft/domain/routing/RetryBudget.java
+++ b/domain/src/main/java/io/heatherloft/domain/routing/RetryBudget.java
@@ -8,7 +8,7 @@
  */
 public final class RetryBudget {
     private final double ratio;
-    private final double ceiling;
+    private double ceiling;
     private double balance;
 
     /**
@@ -28,6 +28,12 @@
         balance = Math.min(ceiling, balance + ratio);
     }
 
+    /** Sets the greatest number of retries saved up from now on. */
+    public void limitTo(double newCeiling) {
+        ceiling = newCeiling;
+        balance = Math.min(balance, ceiling);
+    }
+
     /** Takes one retry from the budget; returns false if there is none. */
     public boolean tryRetry() {
         if (balance < 1) {
--- a/entry/src/main/java/io/heatherloft/entry/EntryHost.java
+++ b/entry/src/main/java/io/heatherloft/entry/EntryHost.java
@@ -2,6 +2,9 @@
 
 import com.codahale.metrics.MetricRegistry;
 import io.heatherloft.domain.route.CallerLimits;
+import io.heatherloft.peer.NettyPeerNetwork;
+import io.heatherloft.peer.NettyPeerServer;
+import io.heatherloft.peer.PeerTraffic;
 import io.heatherloft.platform.JsonCalls;
 import io.heatherloft.platform.PlatformFormats;
 import io.heatherloft.platform.PlatformHeaders;
@@ -20,12 +23,15 @@
 import io.heatherloft.router.http.CallerServer;
 import io.heatherloft.router.log.DecisionLog;
 import io.heatherloft.router.log.LineQueue;
+import io.heatherloft.router.peers.HostReports;
+import io.heatherloft.router.peers.KnowledgeSpreader;
 import io.heatherloft.router.request.EngineSettings;
 import io.heatherloft.router.request.RequestEngine;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import java.net.InetSocketAddress;
+import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 
@@ -46,8 +52,6 @@
     private static final long STOP_POLL_MILLIS = 50L;
     // Setting up the logging library takes as long as all the rest of a start, so it waits until callers are served.
     private static final long LOG_DELAY_MILLIS = 1_500L;
-    // Hosts that share the fleet's retry budget until their number is known.
-    private static final int ASSUMED_HOSTS = 6;
 
     private final PlatformSettings settings;
     private final EventLoopGroup group;
@@ -60,6 +64,9 @@
     private final CallerServer callers;
     private final CallerServer operations;
     private final CallerServer metricsServer;
+    private final PeerTraffic traffic = new PeerTraffic();
+    private final NettyPeerNetwork peerNetwork;
+    private final KnowledgeSpreader spreader;
     private boolean stopping;
 
     private EntryHost(PlatformSettings settings) {
@@ -78,6 +85,20 @@
         VersionPolicies versions = new VersionPolicies(loop, new SessionVersions(settings.sessionMillis()));
         this.knowledge = new FleetKnowledge(loop, store, formats, registry, versions, log, metrics);
         this.rollouts = new RolloutDriver(loop, store, formats, versions, log);
+        HostReports reports = new HostReports(loop, settings.hostName());
+        this.peerNetwork = new NettyPeerNetwork(group, loop, traffic);
+        this.spreader = new KnowledgeSpreader(
+                loop,
+                peerNetwork,
+                knowledge,
+                registry,
+                versions,
+                reports,
+                log,
+                new Random(),
+                settings.hostName(),
+                settings.peerAddress().orElse(""),
+                settings.seedAddresses());
         BackendPool backendPool = new BackendPool(group, loop, PoolSettings.DEFAULT);
         this.engine = new RequestEngine(
                 loop,
@@ -86,6 +107,7 @@
                 backendPool,
                 registry,
                 versions,
+                reports,
                 engineSettings(settings),
                 log,
                 metrics);
@@ -100,9 +122,7 @@
 
     private static EngineSettings engineSettings(PlatformSettings settings) {
         return new EngineSettings(
-                settings.availabilityZone(),
-                settings.retryRatio() * 0.8,
-                Math.max(2, settings.retryAllowance() / (2 * ASSUMED_HOSTS)));
+                settings.availabilityZone(), settings.retryRatio() * 0.8, settings.retryAllowance() / 2);
     }
 
     /**
@@ -117,6 +137,9 @@
             host.listen(host.operations, settings.readyAddress()).join();
             host.listen(host.metricsServer, settings.ipNumber() + ":" + METRICS_PORT)
                     .join();
+            settings.peerAddress()
+                    .ifPresent(address -> new NettyPeerServer(
+                            host.group, socketAddress(address), host.loop, host.traffic, host.spreader));
         } catch (CompletionException exception) {
             throw new IllegalStateException(String.valueOf(exception.getCause()), exception);
         }
@@ -125,9 +148,13 @@
     }
 
     private CompletableFuture<Void> listen(CallerServer server, String address) {
+        return server.listen(socketAddress(address));
+    }
+
+    private static InetSocketAddress socketAddress(String address) {
         int separator = address.lastIndexOf(':');
-        return server.listen(new InetSocketAddress(
-                address.substring(0, separator), Integer.parseInt(address.substring(separator + 1))));
+        return new InetSocketAddress(
+                address.substring(0, separator), Integer.parseInt(address.substring(separator + 1)));
     }
 
     private void begin() {
@@ -140,6 +167,7 @@
         lines.start();
         knowledge.start();
         rollouts.start();
+        spreader.start();
     }
 
     private boolean isReady() {
@@ -161,6 +189,7 @@
         CompletableFuture<Void> stopped = new CompletableFuture<>();
         loop.execute(() -> {
             stopping = true;
+            spreader.announceStop();
             long startMillis = loop.nowMillis();
             log.lifecycle("stop", line -> line.with("in_progress", engine.inProgress()));
             loop.schedule(BALANCER_NOTICE_MILLIS / 2, callers::drain);
@@ -182,6 +211,8 @@
         }
         log.lifecycle("stopped", line -> line.with("in_progress", engine.inProgress()));
         rollouts.stop();
+        spreader.stop();
+        peerNetwork.close();
         knowledge.stop();
         loop.schedule(STOP_POLL_MILLIS, () -> stopped.complete(null));
     }
--- a/peer/src/main/java/io/heatherloft/peer/NettyPeerNetwork.java
+++ b/peer/src/main/java/io/heatherloft/peer/NettyPeerNetwork.java
@@ -53,9 +53,9 @@
         long correlation = ++lastCorrelation;
         CompletableFuture<PeerReply> reply = new CompletableFuture<>();
         connection.pending.put(correlation, reply);
+        // A connection may go silent without a reset, so one that has not answered in time is given up.
         Loop.Cancellation timer = loop.schedule(
-                CALL_TIMEOUT_MILLIS,
-                () -> reply.completeExceptionally(new PeerUnavailableException(address, "no reply in time")));
+                CALL_TIMEOUT_MILLIS, () -> connection.close("no reply in " + CALL_TIMEOUT_MILLIS + " ms"));
         Futures.onComplete(reply, (_reply, _failure) -> {
             timer.cancel();
             connection.pending.remove(correlation);
@@ -69,7 +69,7 @@
 
     /** Closes all connections. */
     public void close() {
-        List.copyOf(connections.values()).forEach(Connection::close);
+        List.copyOf(connections.values()).forEach(connection -> connection.close("closed"));
     }
 
     private Connection open(String address) {
@@ -131,8 +131,8 @@
                     .forEach(reply -> reply.completeExceptionally(new PeerUnavailableException(address, reason)));
         }
 
-        void close() {
-            fail("closed");
+        void close(String reason) {
+            fail(reason);
             if (channel != null) {
                 ChannelFuture _closing = channel.close();
             }
--- a/router/src/main/java/io/heatherloft/router/fleet/FleetKnowledge.java
+++ b/router/src/main/java/io/heatherloft/router/fleet/FleetKnowledge.java
@@ -2,6 +2,7 @@
 
 import com.codahale.metrics.Counter;
 import com.codahale.metrics.MetricRegistry;
+import io.heatherloft.domain.Bytes;
 import io.heatherloft.domain.route.BackendEntry;
 import io.heatherloft.domain.route.CallerLimits;
 import io.heatherloft.domain.route.RoutingConfiguration;
@@ -10,14 +11,17 @@
 import io.heatherloft.ports.store.StoreValue;
 import io.heatherloft.router.log.DecisionLog;
 import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 
 /**
- * What this host knows of the configuration, the backend servers and the roll-outs.
+ * What this host knows of the configuration, the backend servers and the roll-outs, from the store and from other hosts.
  *
  * <p>Invariants: the configuration's version never falls; each value carries the store's revision, and the higher one
- * wins. A value that cannot be read changes nothing. Confined to the loop's thread.
+ * wins, whoever told it. A value that cannot be read changes nothing. Confined to the loop's thread.
  */
 public final class FleetKnowledge {
     // Time within which servers whose entries lapsed while the store was away write them again.
@@ -29,14 +33,12 @@
     private final VersionPolicies versions;
     private final DecisionLog log;
     private final Counter unreadable;
-    private final PrefixFollower operatorKeys;
-    private final PrefixFollower backendKeys;
-    private final PrefixFollower rolloutStates;
+    private final List<FollowedPrefix> prefixes;
+    private final FollowedPrefix backends;
     private final Map<String, StoreValue> earlyStates = new HashMap<>();
     private Optional<RoutingConfiguration> configuration = Optional.empty();
     private long configurationRevision;
     private boolean backendsListed;
-    private long backendsRegainedMillis = Long.MIN_VALUE / 2;
 
     /** Creates knowledge that is empty before {@link #start}. */
     public FleetKnowledge(
@@ -53,23 +55,20 @@
         this.versions = versions;
         this.log = log;
         this.unreadable = metrics.counter("store_values_unreadable_total");
-        this.operatorKeys = new PrefixFollower(store, loop, formats.operatorPrefix(), new OperatorKeys(), log);
-        this.backendKeys = new PrefixFollower(store, loop, formats.backendPrefix(), new BackendKeys(), log);
-        this.rolloutStates = new PrefixFollower(store, loop, formats.rolloutStatePrefix(), new RolloutStates(), log);
+        FollowedPrefix operators = new FollowedPrefix(store, formats.operatorPrefix());
+        this.backends = new FollowedPrefix(store, formats.backendPrefix());
+        FollowedPrefix states = new FollowedPrefix(store, formats.rolloutStatePrefix());
+        this.prefixes = List.of(operators, backends, states);
     }
 
     /** Starts to follow the store. */
     public void start() {
-        operatorKeys.start();
-        backendKeys.start();
-        rolloutStates.start();
+        prefixes.forEach(prefix -> prefix.follower.start());
     }
 
     /** Stops to follow the store. */
     public void stop() {
-        operatorKeys.stop();
-        backendKeys.stop();
-        rolloutStates.stop();
+        prefixes.forEach(prefix -> prefix.follower.stop());
     }
 
     /** Returns the newest configuration known. */
@@ -92,139 +91,184 @@
         return configuration.isPresent() && backendsListed;
     }
 
-    /** Takes a value that an operator wrote; returns true if it was news. */
-    public boolean acceptConfiguration(StoreValue value) {
-        if (value.revision() <= configurationRevision) {
-            return false;
-        }
-        try {
-            RoutingConfiguration read = formats.readConfiguration(value.value());
-            if (configuration.map(known -> read.version() <= known.version()).orElse(false)) {
-                return false;
-            }
-            configuration = Optional.of(read);
-            configurationRevision = value.revision();
-            log.belief("configuration", line -> line.with("version", read.version())
-                    .with("revision", value.revision())
-                    .with("routes", read.routeCount())
-                    .with("outcome", "in_force"));
-            return true;
-        } catch (UnreadableValueException exception) {
-            logUnreadable(value, exception);
-            return false;
-        }
+    /** Returns true if the store answered the last calls. */
+    public boolean isStoreReachable() {
+        return prefixes.stream().allMatch(prefix -> prefix.follower.isReachable());
     }
 
-    private void logUnreadable(StoreValue value, UnreadableValueException exception) {
-        unreadable.inc();
-        log.belief("stored_value", line -> line.with("key", value.key())
-                .with("revision", value.revision())
-                .with("reason", exception.getMessage())
-                .with("outcome", "ignored"));
+    /** Returns what is known of each prefix, for other hosts. */
+    public List<SharedValues> shared() {
+        return prefixes.stream().map(prefix -> prefix.values).toList();
     }
 
-    private final class OperatorKeys implements PrefixFollower.Listener {
-        @Override
-        public void onPut(StoreValue value) {
-            if (value.key().equals(formats.configurationKey())) {
-                acceptConfiguration(value);
-            } else if (value.key().startsWith(formats.rolloutOrderPrefix())) {
-                onOrder(value);
-            }
-        }
+    /**
+     * Takes what another host knows of a prefix.
+     *
+     * @param changes in order of their revisions
+     * @param knownRevision revision up to which the changes, with what this host had told, are complete
+     * @param snapshot true if the changes are all keys that exist
+     */
+    public void acceptFromHost(
+            String name, List<SharedValues.Change> changes, long knownRevision, boolean snapshot, String host) {
+        prefixes.stream()
+                .filter(prefix -> prefix.values.prefix().equals(name))
+                .filter(prefix -> knownRevision > prefix.values.knownRevision())
+                .forEach(prefix -> {
+                    long news = changes.stream().filter(this::accept).count();
+                    if (snapshot) {
+                        Set<String> listed = new HashSet<>();
+                        changes.forEach(change -> listed.add(change.key()));
+                        prefix.values.presentBut(listed).forEach(key -> deleted(key, knownRevision));
+                    }
+                    prefix.values.advanceTo(knownRevision);
+                    backendsListed |= prefix.equals(backends);
+                    if (news > 0) {
+                        log.belief("learned_from_host", line -> line.with("prefix", name)
+                                .with("from", host)
+                                .with("changes", news)
+                                .with("revision", knownRevision)
+                                .with("outcome", "accepted"));
+                    }
+                });
+    }
 
-        private void onOrder(StoreValue value) {
-            String service = value.key().substring(formats.rolloutOrderPrefix().length());
-            try {
-                versions.onOrder(formats.readRolloutOrder(service, value.value()), value.revision());
-                log.belief("rollout_order", line -> line.with("service", service)
-                        .with("revision", value.revision())
-                        .with("outcome", "known"));
-                Optional.ofNullable(earlyStates.get(service)).ifPresent(FleetKnowledge.this::acceptState);
-            } catch (UnreadableValueException exception) {
-                logUnreadable(value, exception);
-            }
-        }
+    private void deleted(String key, long revision) {
+        accept(new SharedValues.Change(key, revision, Optional.empty()));
+    }
 
-        @Override
-        public void onDelete(String key, long revision) {
-            if (key.startsWith(formats.rolloutOrderPrefix())) {
-                versions.of(key.substring(formats.rolloutOrderPrefix().length()))
-                        .onOrderRemoved(revision);
-            }
+    private boolean accept(SharedValues.Change change) {
+        Optional<FollowedPrefix> prefix = prefixes.stream()
+                .filter(candidate -> change.key().startsWith(candidate.values.prefix()))
+                .findFirst();
+        boolean news = prefix.map(found -> found.values.accept(change)).orElse(false);
+        if (news) {
+            change.value()
+                    .ifPresentOrElse(
+                            value -> onPut(new StoreValue(change.key(), value, change.revision())),
+                            () -> onDelete(change.key(), change.revision()));
         }
+        return news;
     }
 
-    private void acceptState(StoreValue value) {
-        String service = value.key().substring(formats.rolloutStatePrefix().length());
-        earlyStates.put(service, value);
+    private void onPut(StoreValue value) {
+        String key = value.key();
         try {
-            versions.onState(formats.readRolloutState(service, value.value()), value.revision());
-            log.belief("rollout_state", line -> line.with("service", service)
-                    .with("revision", value.revision())
-                    .with("outcome", "known"));
+            if (key.equals(formats.configurationKey())) {
+                onConfiguration(formats.readConfiguration(value.value()), value.revision());
+            } else if (key.startsWith(formats.rolloutOrderPrefix())) {
+                onRolloutOrder(key.substring(formats.rolloutOrderPrefix().length()), value);
+            } else if (key.startsWith(formats.rolloutStatePrefix())) {
+                onRolloutState(key.substring(formats.rolloutStatePrefix().length()), value);
+            } else if (key.startsWith(formats.backendPrefix())) {
+                BackendEntry entry = formats.readBackend(
+                        key.substring(formats.backendPrefix().length()), value.value());
+                versions.onVersionSeen(entry.service(), entry.version());
+                registry.update(entry, value.revision());
+            }
         } catch (UnreadableValueException exception) {
-            logUnreadable(value, exception);
+            unreadable.inc();
+            log.belief("stored_value", line -> line.with("key", key)
+                    .with("revision", value.revision())
+                    .with("reason", exception.getMessage())
+                    .with("outcome", "ignored"));
         }
     }
 
-    private final class RolloutStates implements PrefixFollower.Listener {
-        @Override
-        public void onPut(StoreValue value) {
-            acceptState(value);
+    private void onConfiguration(RoutingConfiguration read, long revision) {
+        if (configuration.map(known -> read.version() <= known.version()).orElse(false)) {
+            return;
         }
+        configuration = Optional.of(read);
+        configurationRevision = revision;
+        log.belief("configuration", line -> line.with("version", read.version())
+                .with("revision", revision)
+                .with("routes", read.routeCount())
+                .with("outcome", "in_force"));
+    }
 
-        @Override
-        public void onDelete(String key, long _revision) {
+    private void onRolloutOrder(String service, StoreValue value) throws UnreadableValueException {
+        versions.onOrder(formats.readRolloutOrder(service, value.value()), value.revision());
+        log.belief("rollout_order", line -> line.with("service", service)
+                .with("revision", value.revision())
+                .with("outcome", "known"));
+        StoreValue early = earlyStates.get(service);
+        if (early != null) {
+            onRolloutState(service, early);
+        }
+    }
+
+    private void onRolloutState(String service, StoreValue value) throws UnreadableValueException {
+        earlyStates.put(service, value);
+        versions.onState(formats.readRolloutState(service, value.value()), value.revision());
+        log.belief("rollout_state", line -> line.with("service", service)
+                .with("revision", value.revision())
+                .with("outcome", "known"));
+    }
+
+    private void onDelete(String key, long revision) {
+        if (key.startsWith(formats.rolloutOrderPrefix())) {
+            versions.of(key.substring(formats.rolloutOrderPrefix().length())).onOrderRemoved(revision);
+        } else if (key.startsWith(formats.rolloutStatePrefix())) {
             earlyStates.remove(key.substring(formats.rolloutStatePrefix().length()));
+        } else if (key.startsWith(formats.backendPrefix())) {
+            onBackendRemoved(key.substring(formats.backendPrefix().length()), revision);
         }
     }
 
-    private final class BackendKeys implements PrefixFollower.Listener {
-        @Override
-        public void onPut(StoreValue value) {
-            String id = value.key().substring(formats.backendPrefix().length());
-            try {
-                BackendEntry entry = formats.readBackend(id, value.value());
-                versions.onVersionSeen(entry.service(), entry.version());
-                registry.update(entry, value.revision());
-            } catch (UnreadableValueException exception) {
-                logUnreadable(value, exception);
+    private void onBackendRemoved(String id, long revision) {
+        registry.find(id).filter(server -> revision > server.revision()).ifPresent(server -> {
+            // What is deleted later than this after the store's return did not lapse in its outage.
+            long graceMillis = backends.follower.isReachable()
+                    ? backends.regainedAtMillis + REJOIN_MILLIS - loop.nowMillis()
+                    : REJOIN_MILLIS;
+            if (server.entry().draining() || graceMillis <= 0) {
+                registry.remove(id, revision);
+                return;
             }
+            server.markMissing();
+            loop.schedule(graceMillis, () -> {
+                if (registry.find(id).filter(BackendServerState::isMissing).isPresent()) {
+                    registry.remove(id, revision);
+                }
+            });
+        });
+    }
+
+    /** One prefix with what is known of it. Confined to the loop's thread. */
+    private final class FollowedPrefix implements PrefixFollower.Listener {
+        private final SharedValues values;
+        private final PrefixFollower follower;
+        private long regainedAtMillis = Long.MIN_VALUE / 2;
+
+        FollowedPrefix(KeyValueStore store, String prefix) {
+            this.values = new SharedValues(prefix);
+            this.follower = new PrefixFollower(store, loop, prefix, this, log);
+        }
+
+        @Override
+        public void onPut(String key, Bytes value, long revision) {
+            accept(new SharedValues.Change(key, revision, Optional.of(value)));
         }
 
         @Override
         public void onDelete(String key, long revision) {
-            onMissing(key, revision);
+            deleted(key, revision);
         }
 
         @Override
-        public void onMissing(String key, long revision) {
-            String id = key.substring(formats.backendPrefix().length());
-            registry.find(id).ifPresent(server -> {
-                // Counted from the return of the store: what is deleted after that time did not lapse in an outage.
-                long graceMillis = backendsRegainedMillis + REJOIN_MILLIS - loop.nowMillis();
-                if (server.entry().draining() || graceMillis <= 0) {
-                    registry.remove(id, revision);
-                    return;
-                }
-                server.markMissing();
-                loop.schedule(graceMillis, () -> {
-                    if (registry.find(id).filter(BackendServerState::isMissing).isPresent()) {
-                        registry.remove(id, revision);
-                    }
-                });
-            });
+        public void onListed(Set<String> keys, long revision) {
+            values.presentBut(keys).forEach(key -> deleted(key, revision));
+            backendsListed |= this == backends;
         }
 
         @Override
-        public void onListed() {
-            backendsListed = true;
+        public void onProgress(long revision) {
+            values.advanceTo(revision);
         }
 
         @Override
         public void onReachable() {
-            backendsRegainedMillis = loop.nowMillis();
+            regainedAtMillis = loop.nowMillis();
         }
     }
 }
--- a/router/src/main/java/io/heatherloft/router/fleet/PrefixFollower.java
+++ b/router/src/main/java/io/heatherloft/router/fleet/PrefixFollower.java
@@ -1,19 +1,19 @@
 package io.heatherloft.router.fleet;
 
+import io.heatherloft.domain.Bytes;
 import io.heatherloft.ports.loop.Futures;
 import io.heatherloft.ports.loop.Loop;
 import io.heatherloft.ports.store.KeyValueStore;
 import io.heatherloft.ports.store.StoreValue;
 import io.heatherloft.router.log.DecisionLog;
-import java.util.HashSet;
 import java.util.Set;
 import java.util.stream.Collectors;
 
 /**
  * Keeps up with all keys of a prefix: lists them, watches from there, and starts again after each interruption.
  *
- * <p>Invariants: the listener is told of each change once it is seen, in order of revisions within a watch; after an
- * interruption it is told which keys are no longer there. Confined to the loop's thread.
+ * <p>Invariant: the listener is told of each change once it is seen, in order of revisions within a watch. Confined to
+ * the loop's thread.
  */
 public final class PrefixFollower {
     private static final long FIRST_BACKOFF_MILLIS = 100L;
@@ -24,7 +24,6 @@
     private final String prefix;
     private final Listener listener;
     private final DecisionLog log;
-    private final Set<String> present = new HashSet<>();
     private KeyValueStore.Watch watch = () -> {};
     private Loop.Cancellation retry = () -> {};
     private long revision = -1;
@@ -73,22 +72,13 @@
             }
             revision = listing.revision();
             onReachable();
-            onListing(listing);
+            listing.values().forEach(value -> listener.onPut(value.key(), value.value(), value.revision()));
+            listener.onListed(listing.values().stream().map(StoreValue::key).collect(Collectors.toSet()), revision);
+            listener.onProgress(revision);
             openWatch();
         });
     }
 
-    private void onListing(KeyValueStore.Listing listing) {
-        Set<String> listed = listing.values().stream().map(StoreValue::key).collect(Collectors.toSet());
-        Set<String> missing = new HashSet<>(present);
-        missing.removeAll(listed);
-        present.clear();
-        present.addAll(listed);
-        listing.values().forEach(listener::onPut);
-        missing.forEach(key -> listener.onMissing(key, listing.revision()));
-        listener.onListed();
-    }
-
     private void openWatch() {
         if (!stopped) {
             watch = store.watch(prefix, revision + 1, new Changes());
@@ -118,29 +108,30 @@
                     .with("prefix", prefix)
                     .with("revision", revision)
                     .with("reason", reason));
-            listener.onUnreachable();
         }
     }
 
     private final class Changes implements KeyValueStore.WatchListener {
         @Override
         public void onPut(StoreValue value) {
+            // Reported first, so that a deletion that lapsed in an outage is recognized as such.
+            onReachable();
             revision = Math.max(revision, value.revision());
-            present.add(value.key());
-            listener.onPut(value);
+            listener.onPut(value.key(), value.value(), value.revision());
         }
 
         @Override
         public void onDelete(String key, long deletedAt) {
+            onReachable();
             revision = Math.max(revision, deletedAt);
-            present.remove(key);
             listener.onDelete(key, deletedAt);
         }
 
         @Override
         public void onProgress(long seen) {
-            revision = Math.max(revision, seen);
             onReachable();
+            revision = Math.max(revision, seen);
+            listener.onProgress(revision);
         }
 
         @Override
@@ -158,23 +149,18 @@
     /** Is told of the keys of the prefix. */
     public interface Listener {
         /** A key was written, or was found when the prefix was listed. */
-        void onPut(StoreValue value);
+        void onPut(String key, Bytes value, long revision);
 
         /** A key was deleted, or its lease lapsed. */
         void onDelete(String key, long revision);
 
-        /** A key was not found when the prefix was listed after an interruption. */
-        default void onMissing(String key, long revision) {
-            onDelete(key, revision);
-        }
+        /** The prefix was listed; keys that are not among these do not exist. */
+        void onListed(Set<String> keys, long revision);
 
-        /** All keys have been reported once. */
-        default void onListed() {}
+        /** All changes up to a revision have been reported. */
+        void onProgress(long revision);
 
         /** The store answers again. */
-        default void onReachable() {}
-
-        /** The store does not answer. */
-        default void onUnreachable() {}
+        void onReachable();
     }
 }
--- a/router/src/main/java/io/heatherloft/router/fleet/VersionPolicies.java
+++ b/router/src/main/java/io/heatherloft/router/fleet/VersionPolicies.java
@@ -2,9 +2,11 @@
 
 import io.heatherloft.domain.rollout.RolloutOrder;
 import io.heatherloft.domain.rollout.RolloutState;
+import io.heatherloft.domain.rollout.VersionOutcomes;
 import io.heatherloft.ports.loop.Loop;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 
 /**
@@ -38,6 +40,38 @@
         of(service).rollout().ifPresent(rollout -> rollout.record(version, bad));
     }
 
+    /**
+     * How far a roll-out has come on one host.
+     *
+     * @param elapsedMillis time since the host first knew of the order
+     */
+    public record Progress(
+            String service, long orderRevision, long elapsedMillis, VersionOutcomes target, VersionOutcomes before) {}
+
+    /** Returns the progress of all roll-outs on this host. */
+    public List<Progress> progress(long nowMillis) {
+        return policies.values().stream()
+                .flatMap(policy -> policy.rollout().stream())
+                .map(rollout -> new Progress(
+                        rollout.order().service(),
+                        rollout.orderRevision(),
+                        rollout.elapsedMillis(nowMillis),
+                        rollout.ownTarget(),
+                        rollout.ownBefore()))
+                .toList();
+    }
+
+    /** Takes the progress of a roll-out on another host, or on an earlier incarnation of one. */
+    public void recordOtherHost(String host, Progress progress) {
+        of(progress.service())
+                .rollout()
+                .filter(rollout -> rollout.orderRevision() == progress.orderRevision())
+                .ifPresent(rollout -> {
+                    rollout.raiseElapsed(progress.elapsedMillis(), loop.nowMillis());
+                    rollout.recordOthers(host, progress.target(), progress.before());
+                });
+    }
+
     void onVersionSeen(String service, String version) {
         of(service).onVersionSeen(version, loop.nowMillis());
     }
--- a/router/src/main/java/io/heatherloft/router/fleet/VersionPolicy.java
+++ b/router/src/main/java/io/heatherloft/router/fleet/VersionPolicy.java
@@ -56,7 +56,10 @@
 
     /** Takes the state of a roll-out at a revision of the store. */
     void onState(RolloutState state, long revision) {
-        stateKeyRevision = OptionalLong.of(Math.max(revision, stateKeyRevision.orElse(0)));
+        if (revision <= stateKeyRevision.orElse(0)) {
+            return;
+        }
+        stateKeyRevision = OptionalLong.of(revision);
         rollout.filter(known ->
                         revision > known.orderRevision && known.order.target().equals(state.target()))
                 .ifPresent(known -> {
@@ -161,6 +164,8 @@
         private Optional<RolloutState.Phase> decided = Optional.empty();
         private VersionOutcomes target = VersionOutcomes.NONE;
         private VersionOutcomes before = VersionOutcomes.NONE;
+        private final Map<String, VersionOutcomes> otherTargets = new HashMap<>();
+        private final Map<String, VersionOutcomes> otherBefores = new HashMap<>();
 
         Rollout(RolloutOrder order, long orderRevision, long startMillis) {
             this.order = order;
@@ -184,14 +189,29 @@
             return decided;
         }
 
+        /** Returns the answers of the new version, on all hosts. */
         VersionOutcomes target() {
-            return target;
+            return otherTargets.values().stream().reduce(target, VersionOutcomes::plus);
         }
 
+        /** Returns the answers of the version before, on all hosts. */
         VersionOutcomes before() {
+            return otherBefores.values().stream().reduce(before, VersionOutcomes::plus);
+        }
+
+        VersionOutcomes ownTarget() {
+            return target;
+        }
+
+        VersionOutcomes ownBefore() {
             return before;
         }
 
+        void recordOthers(String host, VersionOutcomes hostTarget, VersionOutcomes hostBefore) {
+            otherTargets.put(host, hostTarget);
+            otherBefores.put(host, hostBefore);
+        }
+
         long elapsedMillis(long nowMillis) {
             return nowMillis - startMillis;
         }
--- a/router/src/main/java/io/heatherloft/router/request/BackendChooser.java
+++ b/router/src/main/java/io/heatherloft/router/request/BackendChooser.java
@@ -6,6 +6,7 @@
 import io.heatherloft.router.fleet.BackendRegistry;
 import io.heatherloft.router.fleet.BackendServerState;
 import io.heatherloft.router.fleet.VersionPolicies;
+import io.heatherloft.router.peers.HostReports;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -20,12 +21,19 @@
     private final Loop loop;
     private final BackendRegistry registry;
     private final VersionPolicies versions;
+    private final HostReports reports;
     private final String availabilityZone;
 
-    BackendChooser(Loop loop, BackendRegistry registry, VersionPolicies versions, String availabilityZone) {
+    BackendChooser(
+            Loop loop,
+            BackendRegistry registry,
+            VersionPolicies versions,
+            HostReports reports,
+            String availabilityZone) {
         this.loop = loop;
         this.registry = registry;
         this.versions = versions;
+        this.reports = reports;
         this.availabilityZone = availabilityZone;
     }
 
@@ -69,7 +77,7 @@
         return new BackendChoice.Candidate<>(
                 server,
                 server.idHash(),
-                server.outstanding(),
+                server.outstanding() + reports.loadOf(server.entry().id()),
                 server.entry().slots(),
                 shared.map(server::remembersPrefix).orElse(false),
                 server.entry().availabilityZone().equals(availabilityZone),
--- a/router/src/main/java/io/heatherloft/router/request/RequestEngine.java
+++ b/router/src/main/java/io/heatherloft/router/request/RequestEngine.java
@@ -14,6 +14,7 @@
 import io.heatherloft.router.http.CallerHandler;
 import io.heatherloft.router.http.CallerRequest;
 import io.heatherloft.router.log.DecisionLog;
+import io.heatherloft.router.peers.HostReports;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
@@ -27,6 +28,8 @@
     // Time from the start of a process within which the store usually answers; requests wait for it that long.
     private static final long START_MILLIS = 1_000L;
     private static final long START_POLL_MILLIS = 10L;
+    // Repeated sends that a host may make before it has earned any or knows the others.
+    private static final double FIRST_RETRY_ALLOWANCE = 2;
 
     private final long createdAtMillis;
     private final Loop loop;
@@ -38,6 +41,7 @@
     private final BackendChooser chooser;
     private final DecisionLog log;
     private final MetricRegistry metrics;
+    private final HostReports reports;
     private final EngineSettings settings;
     private final Map<String, RetryBudget> retryBudgets = new HashMap<>();
     private int inProgress;
@@ -50,6 +54,7 @@
             BackendPool pool,
             BackendRegistry registry,
             VersionPolicies versions,
+            HostReports reports,
             EngineSettings settings,
             DecisionLog log,
             MetricRegistry metrics) {
@@ -63,7 +68,8 @@
         this.settings = settings;
         this.log = log;
         this.metrics = metrics;
-        this.chooser = new BackendChooser(loop, registry, versions, settings.availabilityZone());
+        this.reports = reports;
+        this.chooser = new BackendChooser(loop, registry, versions, reports, settings.availabilityZone());
     }
 
     @Override
@@ -121,8 +127,10 @@
     }
 
     RetryBudget retryBudget(String service) {
-        return retryBudgets.computeIfAbsent(
-                service, _name -> new RetryBudget(settings.retryRatio(), settings.retryAllowance()));
+        RetryBudget budget = retryBudgets.computeIfAbsent(
+                service, _name -> new RetryBudget(settings.retryRatio(), FIRST_RETRY_ALLOWANCE));
+        budget.limitTo(Math.max(FIRST_RETRY_ALLOWANCE, settings.retryAllowance() / reports.hostCount()));
+        return budget;
     }
 
     Loop loop() {
