Silent attempts move on; the retry budget is earned by requests and keeps a reserve for failures

Change: a repeatable request without news for its objective, or 0.6 of its longest pause, goes on elsewhere within the budget; requests earn the budget when first sent, the hosts share 0.85 of it, larger models leave two sends.

--- a/domain/src/main/java/io/heatherloft/domain/routing/RetryBudget.java
+++ b/domain/src/main/java/io/heatherloft/domain/routing/RetryBudget.java
@@ -14,7 +14,7 @@
     /**
      * Creates a budget.
      *
-     * @param ratio retries earned by a success
+     * @param ratio retries earned by a success, or by a request where those are recorded
      * @param ceiling greatest number of retries saved up; also the initial allowance
      */
     public RetryBudget(double ratio, double ceiling) {
@@ -28,6 +28,11 @@
         balance = Math.min(ceiling, balance + ratio);
     }
 
+    /** Records a request that was sent for the first time. */
+    public void recordRequest() {
+        recordSuccess();
+    }
+
     /** Sets the greatest number of retries saved up from now on. */
     public void limitTo(double newCeiling) {
         ceiling = newCeiling;
@@ -36,7 +41,12 @@
 
     /** Takes one retry from the budget; returns false if there is none. */
     public boolean tryRetry() {
-        if (balance < 1) {
+        return tryRetry(0);
+    }
+
+    /** Takes one retry from the budget if more than {@code reserve} are left after it; returns false otherwise. */
+    public boolean tryRetry(double reserve) {
+        if (balance < 1 + reserve) {
             return false;
         }
         balance -= 1;
--- a/entry/src/main/java/io/heatherloft/entry/EntryHost.java
+++ b/entry/src/main/java/io/heatherloft/entry/EntryHost.java
@@ -50,6 +50,8 @@
     // Time before the end of the grace period at which open streams are broken off, for their callers to resume.
     private static final long LAST_MOMENT_MILLIS = 700L;
     private static final long STOP_POLL_MILLIS = 50L;
+    // Part of the fleet's retry budget that is used; the rest covers sends in progress while a window ends.
+    private static final double BUDGET_USE = 0.85;
     // Setting up the logging library takes as long as all the rest of a start, so it waits until callers are served.
     private static final long LOG_DELAY_MILLIS = 1_500L;
 
@@ -122,7 +124,9 @@
 
     private static EngineSettings engineSettings(PlatformSettings settings) {
         return new EngineSettings(
-                settings.availabilityZone(), settings.retryRatio() * 0.8, settings.retryAllowance() / 2);
+                settings.availabilityZone(),
+                settings.retryRatio() * BUDGET_USE,
+                settings.retryAllowance() * BUDGET_USE);
     }
 
     /**
--- a/router/src/main/java/io/heatherloft/router/request/Attempt.java
+++ b/router/src/main/java/io/heatherloft/router/request/Attempt.java
@@ -1,5 +1,6 @@
 package io.heatherloft.router.request;
 
+import io.heatherloft.ports.loop.Loop;
 import io.heatherloft.router.backend.AnswerListener;
 import io.heatherloft.router.backend.BackendExchange;
 import io.heatherloft.router.backend.ExchangeFailure;
@@ -35,6 +36,8 @@
     private Mode mode = Mode.WAITING;
     private ByteBuf body = Unpooled.EMPTY_BUFFER;
     private long firstEventMillis = -1;
+    private long lastNewsMillis;
+    private Loop.Cancellation silenceTimer = () -> {};
     private boolean over;
 
     Attempt(RequestExecution execution, BackendServerState server, int number) {
@@ -79,6 +82,24 @@
                         .with("model", dispatch.model().orElse(""))
                         .with("outcome", "sent"));
         exchange = execution.engine().pool().send(server.target(), message, this);
+        lastNewsMillis = sentAtMillis;
+        awaitNews();
+    }
+
+    private void awaitNews() {
+        if (over) {
+            return;
+        }
+        execution.silenceMillis(firstEventMillis >= 0).ifPresent(limitMillis -> {
+            long leftMillis =
+                    lastNewsMillis + limitMillis - execution.engine().loop().nowMillis();
+            if (leftMillis > 0) {
+                silenceTimer = execution.engine().loop().schedule(leftMillis, this::awaitNews);
+            } else if (execution.movesAfterSilence(this)) {
+                server.health().recordFailure(execution.engine().loop().nowMillis());
+                execution.engine().pool().closeIdle(server.entry().id());
+            }
+        });
     }
 
     void cancel() {
@@ -139,6 +160,7 @@
             body.writeBytes(part);
         } else if (mode == Mode.STREAM) {
             execution.relay().accept(part);
+            lastNewsMillis = execution.engine().loop().nowMillis();
             if (firstEventMillis < 0 && execution.relay().passedOn() > 0) {
                 firstEventMillis = execution.engine().loop().nowMillis() - sentAtMillis;
             }
@@ -217,6 +239,7 @@
 
     private void end() {
         over = true;
+        silenceTimer.cancel();
         server.end();
     }
 
--- a/router/src/main/java/io/heatherloft/router/request/RequestEngine.java
+++ b/router/src/main/java/io/heatherloft/router/request/RequestEngine.java
@@ -28,8 +28,8 @@
     // Time from the start of a process within which the store usually answers; requests wait for it that long.
     private static final long START_MILLIS = 1_000L;
     private static final long START_POLL_MILLIS = 10L;
-    // Repeated sends that a host may make before it has earned any or knows the others.
-    private static final double FIRST_RETRY_ALLOWANCE = 2;
+    // Repeated sends that a host may save up however many share the allowance.
+    private static final double LEAST_RETRY_ALLOWANCE = 2;
 
     private final long createdAtMillis;
     private final Loop loop;
@@ -127,9 +127,10 @@
     }
 
     RetryBudget retryBudget(String service) {
-        RetryBudget budget = retryBudgets.computeIfAbsent(
-                service, _name -> new RetryBudget(settings.retryRatio(), FIRST_RETRY_ALLOWANCE));
-        budget.limitTo(Math.max(FIRST_RETRY_ALLOWANCE, settings.retryAllowance() / reports.hostCount()));
+        double share = Math.max(LEAST_RETRY_ALLOWANCE, settings.retryAllowance() / reports.hostCount());
+        RetryBudget budget =
+                retryBudgets.computeIfAbsent(service, _name -> new RetryBudget(settings.retryRatio(), share / 2));
+        budget.limitTo(share);
         return budget;
     }
 
--- a/router/src/main/java/io/heatherloft/router/request/RequestExecution.java
+++ b/router/src/main/java/io/heatherloft/router/request/RequestExecution.java
@@ -12,6 +12,7 @@
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.OptionalInt;
+import java.util.OptionalLong;
 import java.util.Set;
 
 /**
@@ -30,6 +31,13 @@
     private static final long DEFAULT_DEADLINE_MILLIS = 30_000L;
     // Confidence, from 0 to 100, at which an answer is as likely right as wrong.
     private static final int SUFFICIENT_CONFIDENCE = 50;
+    // Repeated sends that are kept back for failures when a larger model would take one.
+    private static final double ESCALATION_RESERVE = 2;
+    // Time without an event, as a fraction of the longest pause that is still on time, after which a stream is resumed
+    // elsewhere: enough is left for the other server to go on within that pause.
+    private static final double SILENT_PAUSE_FRACTION = 0.6;
+    // Time without an answer, as a multiple of the response-time objective, after which a request is sent elsewhere.
+    private static final double SILENT_ANSWER_FACTOR = 1.0;
 
     private final RequestEngine engine;
     private final CallerRequest request;
@@ -122,6 +130,9 @@
                         engine.loop().nowMillis()));
         facts.sharedPrompt().ifPresent(part -> server.rememberPrefix(part, facts.sharedTokens()));
         sends++;
+        if (sends == 1) {
+            engine.retryBudget(service).recordRequest();
+        }
         attempt = new Attempt(this, server, sends);
         attempt.send(new DispatchFacts(
                 server.entry().id(),
@@ -163,7 +174,7 @@
                 .with("expected_output_tokens", facts.expectedOutputTokens())
                 .with("confidence", stated)
                 .with("outcome", sufficient ? "kept" : "larger"));
-        if (sufficient || !mayRetry("confidence " + stated)) {
+        if (sufficient || !mayRetry("confidence " + stated, ESCALATION_RESERVE)) {
             return true;
         }
         running.cancel();
@@ -209,6 +220,34 @@
         }
     }
 
+    /** Returns the time without any news after which an attempt counts as silent, in milliseconds; empty if never. */
+    OptionalLong silenceMillis(boolean streaming) {
+        if (!route.repeatPolicy().mayRepeat() || route.objectiveMillis() <= 0) {
+            return OptionalLong.empty();
+        }
+        double millis = streaming && route.longestPauseMillis() > 0
+                ? route.longestPauseMillis() * SILENT_PAUSE_FRACTION
+                : route.objectiveMillis() * SILENT_ANSWER_FACTOR;
+        return OptionalLong.of(Math.round(millis));
+    }
+
+    /**
+     * The attempt's server has sent nothing for a while.
+     *
+     * @return true if the request goes on elsewhere
+     */
+    boolean movesAfterSilence(Attempt silent) {
+        if (!isCurrent(silent) || !mayRetry("silence")) {
+            return false;
+        }
+        triedBackends.add(silent.server().entry().id());
+        mayHaveRun = true;
+        relay.discardPartial();
+        silent.cancel();
+        dispatch();
+        return true;
+    }
+
     /** A whole answer has arrived. */
     void onWhole(Attempt ending, int status, HttpHeaders headers, ByteBuf body) {
         if (!isCurrent(ending)) {
@@ -244,7 +283,6 @@
     /** The stream has ended as complete. */
     void onStreamEnd(Attempt ending) {
         if (isCurrent(ending)) {
-            engine.retryBudget(service).recordSuccess();
             finish("answered", 200);
             exchange.endStream();
         }
@@ -262,9 +300,13 @@
     }
 
     private boolean mayRetry(String reason) {
+        return mayRetry(reason, 0);
+    }
+
+    private boolean mayRetry(String reason, double reserve) {
         boolean granted = sends < route.maxAttempts()
                 && timeLeftMillis() >= LEAST_USEFUL_MILLIS
-                && engine.retryBudget(service).tryRetry();
+                && engine.retryBudget(service).tryRetry(reserve);
         engine.log().request("retry", facts.attemptId().orElse(""), line -> line.with("reason", reason)
                 .with("backend_id", attempt.server().entry().id())
                 .with("sends", sends)
