--- /dev/null
+++ b/domain/src/test/java/io/heatherloft/domain/rollout/RolloutDecisionsTest.java
@@ -0,0 +1,82 @@
+package io.heatherloft.domain.rollout;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.Random;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+final class RolloutDecisionsTest {
+    private static final long DURATION = 16_000;
+
+    @Nested
+    final class ThePlan {
+        @Test
+        void never_lowers_the_share_and_ends_with_all_sessions() {
+            double before = 0;
+            for (long elapsed = 0; elapsed <= DURATION; elapsed += 10) {
+                double share = RolloutPlan.shareAt(elapsed, DURATION);
+                assertThat(share).isAtLeast(before);
+                before = share;
+            }
+            assertThat(before).isEqualTo(1.0);
+        }
+
+        @Test
+        void moves_no_session_in_the_first_half_and_exposes_few_requests_in_it() {
+            for (long elapsed = 0; elapsed < DURATION / 2; elapsed += 10) {
+                assertThat(RolloutPlan.maySessionsMove(elapsed, DURATION)).isFalse();
+                assertThat(RolloutPlan.shareAt(elapsed, DURATION)).isAtMost(0.0975);
+            }
+        }
+
+        @Test
+        void leaves_time_for_the_last_answers_of_the_version_before() {
+            long all = 0;
+            while (RolloutPlan.shareAt(all, DURATION) < 1) {
+                all += 10;
+            }
+            assertThat(RolloutPlan.isDue(all, DURATION)).isFalse();
+            assertThat(RolloutPlan.isDue(DURATION, DURATION)).isTrue();
+        }
+    }
+
+    @Nested
+    final class TheVerdict {
+        private VersionOutcomes draw(Random random, int answers, double badShare) {
+            VersionOutcomes outcomes = VersionOutcomes.NONE;
+            for (int answer = 0; answer < answers; answer++) {
+                outcomes = outcomes.plusAnswer(random.nextDouble() < badShare);
+            }
+            return outcomes;
+        }
+
+        @Test
+        void on_a_version_that_fails_half_of_its_requests_comes_within_twenty_five_answers() {
+            int judged = 0;
+            for (int seed = 0; seed < 1_000; seed++) {
+                Random random = new Random(seed);
+                VersionOutcomes before = draw(random, 150, 0.01);
+                judged += draw(random, 25, 0.5).isWorseThan(before) ? 1 : 0;
+            }
+            assertThat(judged).isAtLeast(995);
+        }
+
+        @Test
+        void on_a_sound_version_is_rare_when_asked_after_each_answer() {
+            int wrong = 0;
+            for (int seed = 0; seed < 500; seed++) {
+                Random random = new Random(seed);
+                VersionOutcomes before = draw(random, 300, 0.02);
+                VersionOutcomes target = VersionOutcomes.NONE;
+                boolean bad = false;
+                for (int answer = 0; answer < 300 && !bad; answer++) {
+                    target = target.plusAnswer(random.nextDouble() < 0.02);
+                    bad = target.isWorseThan(before);
+                }
+                wrong += bad ? 1 : 0;
+            }
+            assertThat(wrong).isAtMost(5);
+        }
+    }
+}
--- /dev/null
+++ b/domain/src/test/java/io/heatherloft/domain/route/RouteDecisionsTest.java
@@ -0,0 +1,163 @@
+package io.heatherloft.domain.route;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.heatherloft.domain.StableHash;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Random;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+final class RouteDecisionsTest {
+    private static Route route(String name, String prefix, List<Destination> destinations) {
+        return new Route(
+                name,
+                "a.example",
+                prefix,
+                RepeatPolicy.IDEMPOTENT,
+                destinations,
+                OptionalLong.empty(),
+                100,
+                0,
+                2,
+                true,
+                false,
+                0,
+                List.of());
+    }
+
+    @Nested
+    final class Lookup {
+        @Test
+        void finds_what_a_search_of_all_routes_finds() {
+            Random random = new Random(5);
+            List<String> segments = List.of("a/", "b/", "c/", "ab/");
+            for (int round = 0; round < 200; round++) {
+                List<Route> routes = new ArrayList<>();
+                IntStream.range(0, 12).forEach(index -> {
+                    StringBuilder prefix = new StringBuilder("/");
+                    IntStream.range(0, random.nextInt(4))
+                            .forEach(_step -> prefix.append(segments.get(random.nextInt(4))));
+                    routes.add(route("r" + index, prefix.toString(), List.of(new Destination("s", 1))));
+                });
+                RoutingConfiguration configuration =
+                        new RoutingConfiguration(1, routes, List.of(), CallerLimits.DEFAULT, Map.of(), false);
+                String path = "/" + segments.get(random.nextInt(4)) + segments.get(random.nextInt(4)) + "x";
+                Optional<String> expected = routes.stream()
+                        .map(Route::pathPrefix)
+                        .filter(path::startsWith)
+                        .max(Comparator.comparingInt(String::length));
+                assertThat(configuration.findRoute("a.example", path).map(Route::pathPrefix))
+                        .isEqualTo(expected);
+            }
+        }
+    }
+
+    @Nested
+    final class Weights {
+        @Test
+        void share_requests_and_a_weight_of_zero_gets_none() {
+            Route split = route(
+                    "r", "/a/", List.of(new Destination("x", 90), new Destination("y", 10), new Destination("z", 0)));
+            Map<String, Long> counts = IntStream.range(0, 20_000)
+                    .mapToObj(index -> split.serviceFor(StableHash.of("request " + index)))
+                    .collect(java.util.stream.Collectors.groupingBy(
+                            service -> service, java.util.stream.Collectors.counting()));
+            assertThat(counts.get("x") / 20_000.0).isWithin(0.01).of(0.9);
+            assertThat(counts.get("y") / 20_000.0).isWithin(0.01).of(0.1);
+            assertThat(counts.containsKey("z")).isFalse();
+        }
+    }
+
+    @Nested
+    final class ChoiceOfAServer {
+        private List<BackendChoice.Candidate<Integer>> idle(int count) {
+            return IntStream.range(0, count)
+                    .mapToObj(index -> new BackendChoice.Candidate<>(
+                            index, StableHash.of("server " + index), 0, 64, false, true, 0))
+                    .toList();
+        }
+
+        @Test
+        void for_one_prefix_is_the_same_on_every_host_while_loads_are_equal() {
+            List<BackendChoice.Candidate<Integer>> candidates = idle(8);
+            for (int prefix = 0; prefix < 100; prefix++) {
+                long hash = StableHash.of("prefix " + prefix);
+                List<BackendChoice.Candidate<Integer>> shuffled = new ArrayList<>(candidates);
+                java.util.Collections.shuffle(shuffled, new Random(prefix));
+                assertThat(BackendChoice.choose(shuffled, hash, 5_000))
+                        .isEqualTo(BackendChoice.choose(candidates, hash, 5_000));
+            }
+        }
+
+        // The hot key of a day: a third of all requests share one prompt.
+        @Test
+        void for_a_hot_prefix_spills_before_its_server_holds_twice_the_mean() {
+            int[] loads = new int[8];
+            Random random = new Random(3);
+            for (int request = 0; request < 400; request++) {
+                List<BackendChoice.Candidate<Integer>> candidates = IntStream.range(0, 8)
+                        .mapToObj(index -> new BackendChoice.Candidate<>(
+                                index, StableHash.of("server " + index), loads[index], 64, false, true, 0))
+                        .toList();
+                String prefix = random.nextInt(3) == 0 ? "hot" : "prefix " + random.nextInt(100);
+                int chosen = BackendChoice.choose(candidates, StableHash.of(prefix), 5_000)
+                        .orElseThrow();
+                loads[chosen]++;
+            }
+            int most = IntStream.of(loads).max().orElseThrow();
+            assertThat(most).isLessThan(2 * 400 / 8);
+        }
+
+        @Test
+        void avoids_a_server_that_fails_half_of_its_requests() {
+            List<BackendChoice.Candidate<Integer>> candidates = List.of(
+                    new BackendChoice.Candidate<>(0, 1, 0, 6, false, true, 0.5),
+                    new BackendChoice.Candidate<>(1, 2, 3, 6, false, false, 0));
+            for (int request = 0; request < 50; request++) {
+                assertThat(BackendChoice.choose(candidates, StableHash.of("r" + request), 0))
+                        .isEqualTo(Optional.of(1));
+            }
+        }
+    }
+
+    @Nested
+    final class Health {
+        @Test
+        void sets_a_failing_server_aside_and_lets_it_back_after_one_success() {
+            BackendHealth health = new BackendHealth();
+            long now = 0;
+            while (health.isAvailable(now)) {
+                health.recordFailure(now);
+            }
+            now += 10_000;
+            assertThat(health.isAvailable(now)).isTrue();
+            health.onDispatch();
+            assertThat(health.isAvailable(now)).isFalse();
+            health.recordSuccess();
+            assertThat(health.isAvailable(now)).isTrue();
+        }
+
+        @Test
+        void does_not_set_aside_a_server_that_fails_one_in_seven() {
+            BackendHealth health = new BackendHealth();
+            Random random = new Random(1);
+            int unavailable = 0;
+            for (int request = 0; request < 2_000; request++) {
+                if (random.nextInt(7) == 0) {
+                    health.recordFailure(request);
+                } else {
+                    health.recordSuccess();
+                }
+                unavailable += health.isAvailable(request) ? 0 : 1;
+            }
+            assertThat(unavailable).isLessThan(100);
+        }
+    }
+}
--- a/entry/src/main/java/io/heatherloft/entry/EntryHost.java
+++ b/entry/src/main/java/io/heatherloft/entry/EntryHost.java
@@ -41,8 +41,6 @@
  * <p>Invariant: everything but {@link #start}, {@link #stop} and {@link #reload} runs on the host's one loop.
  */
 final class EntryHost {
-    // Port of the metrics; outside the ranges from which the platform draws its own.
-    private static final int METRICS_PORT = 9_464;
     // Least time between two calls of a watch: status entries change several times a second.
     private static final long WATCH_PACE_MILLIS = 250L;
     // The balancer asks every second and takes a host out after two misses.
@@ -132,14 +130,15 @@
     /**
      * Starts a host.
      *
+     * @param metricsPort port at which the metrics are served; 0 for any
      * @throws IllegalStateException if an address cannot be bound
      */
-    static EntryHost start(PlatformSettings settings) {
+    static EntryHost start(PlatformSettings settings, int metricsPort) {
         EntryHost host = new EntryHost(settings);
         try {
             host.listen(host.callers, settings.callerAddress()).join();
             host.listen(host.operations, settings.readyAddress()).join();
-            host.listen(host.metricsServer, settings.ipNumber() + ":" + METRICS_PORT)
+            host.listen(host.metricsServer, settings.ipNumber() + ":" + metricsPort)
                     .join();
             settings.peerAddress()
                     .ifPresent(address -> new NettyPeerServer(
@@ -155,6 +154,21 @@
         return server.listen(socketAddress(address));
     }
 
+    /** Returns the port at which callers are served. */
+    int callerPort() {
+        return callers.port();
+    }
+
+    /** Returns the port at which the balancer asks. */
+    int readyPort() {
+        return operations.port();
+    }
+
+    /** Returns the port at which the metrics are served. */
+    int metricsPort() {
+        return metricsServer.port();
+    }
+
     private static InetSocketAddress socketAddress(String address) {
         int separator = address.lastIndexOf(':');
         return new InetSocketAddress(
@@ -183,6 +197,12 @@
         loop.execute(() -> log.lifecycle("reload", line -> line.with("outcome", "unchanged")));
     }
 
+    /** Ends at once, as a kill does. May be called by any thread. */
+    void kill() {
+        io.netty.util.concurrent.Future<?> _ended =
+                group.shutdownGracefully(0, 0, java.util.concurrent.TimeUnit.MILLISECONDS);
+    }
+
     /** Writes the log lines that are left; called when the host has stopped. */
     void finishLog() {
         lines.finish();
--- a/entry/src/main/java/io/heatherloft/entry/EntryMain.java
+++ b/entry/src/main/java/io/heatherloft/entry/EntryMain.java
@@ -20,6 +20,8 @@
  * thread only until the host has started.
  */
 public final class EntryMain {
+    // Port of the metrics, as in deploy/system.toml; outside the ranges from which the platform draws its own.
+    private static final int METRICS_PORT = 9_464;
     private static final int EXIT_SETTINGS = 2;
     private static final int EXIT_CANNOT_START = 3;
 
@@ -66,7 +68,7 @@
 
     @SuppressWarnings("ShutdownHook") // The host is the whole process; no container manages its life.
     private static void serve(PlatformSettings settings) throws InterruptedException {
-        EntryHost host = EntryHost.start(settings);
+        EntryHost host = EntryHost.start(settings, METRICS_PORT);
         // Without the halt the process would end with the signal's code after an orderly stop.
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
             host.stop().join();
--- /dev/null
+++ b/entry/src/test/java/io/heatherloft/entry/EntryHostTest.java
@@ -0,0 +1,345 @@
+package io.heatherloft.entry;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.heatherloft.router.http.CallerRequest;
+import io.heatherloft.standins.platform.PlatformExample;
+import io.heatherloft.standins.platform.RunnerStandIn;
+import io.heatherloft.standins.platform.RunnerStandIn.Act;
+import io.heatherloft.standins.platform.StoreStandIn;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+final class EntryHostTest {
+    private final PlatformRig rig = new PlatformRig();
+
+    @AfterEach
+    void close() {
+        rig.close();
+    }
+
+    private EntryHost loneHost() {
+        return rig.host("entry-1", PlatformRig.freePort(), List.of());
+    }
+
+    private static List<Integer> eventIds(String answer) {
+        Matcher matcher = Pattern.compile("id: (\\d+)\n").matcher(answer);
+        return matcher.results()
+                .map(result -> Integer.parseInt(result.group(1)))
+                .toList();
+    }
+
+    private static List<Integer> allEvents() {
+        return IntStream.rangeClosed(1, 8).boxed().toList();
+    }
+
+    private List<CallerRequest> received(RunnerStandIn backend) {
+        return rig.onLoop(() -> List.copyOf(backend.received()));
+    }
+
+    private int receivedInAll(RunnerStandIn... backends) {
+        return List.of(backends).stream()
+                .mapToInt(backend -> received(backend).size())
+                .sum();
+    }
+
+    @Nested
+    final class AStream {
+        @Test
+        void is_passed_on_whole_with_the_servers_seal() {
+            rig.backend("llm", "i-1", "v1");
+            String answer = rig.stream(loneHost(), "r1");
+            assertThat(answer).startsWith("HTTP/1.1 200");
+            assertThat(answer).contains("X-Runner-Seal: i-1.seal");
+            assertThat(eventIds(answer)).isEqualTo(allEvents());
+            assertThat(answer).endsWith("0\r\n\r\n");
+        }
+
+        @Test
+        void reaches_the_server_with_the_workspace_and_without_the_key() {
+            RunnerStandIn backend = rig.backend("llm", "i-1", "v1");
+            rig.stream(loneHost(), "r1");
+            CallerRequest request = received(backend).get(0);
+            assertThat(request.headers().get("X-Tenant-Name")).isEqualTo("malmo");
+            assertThat(request.headers().get("X-Expect-Runner")).isEqualTo("i-1");
+            assertThat(request.headers().contains("Authorization")).isFalse();
+            assertThat(request.headers().get("X-Model-Name")).isEqualTo("small");
+            assertThat(request.body().toText()).isEqualTo("hello");
+        }
+
+        @Test
+        void runs_on_the_large_model_when_the_small_one_is_not_confident() {
+            RunnerStandIn backend = rig.backend("llm", "i-1", "v1");
+            rig.onLoop(() -> backend.setConfidence(20));
+            String answer = rig.stream(loneHost(), "r1");
+            assertThat(eventIds(answer)).isEqualTo(allEvents());
+            assertThat(received(backend).stream()
+                            .map(request -> request.headers().get("X-Model-Name"))
+                            .toList())
+                    .containsExactly("small", "large")
+                    .inOrder();
+        }
+
+        @Test
+        void goes_on_at_another_server_after_its_last_whole_event() {
+            RunnerStandIn first = rig.backend("llm", "i-1", "v1");
+            RunnerStandIn second = rig.backend("llm", "i-2", "v1");
+            rig.onLoop(() -> {
+                first.next(Act.BREAK_STREAM);
+                second.next(Act.BREAK_STREAM);
+            });
+            String answer = rig.stream(loneHost(), "r1");
+            assertThat(eventIds(answer)).isEqualTo(allEvents());
+            assertThat(answer).endsWith("0\r\n\r\n");
+        }
+
+        @Test
+        void goes_on_at_another_server_when_the_first_is_silent() {
+            RunnerStandIn first = rig.backend("llm", "i-1", "v1");
+            RunnerStandIn second = rig.backend("llm", "i-2", "v1");
+            rig.onLoop(() -> {
+                first.next(Act.SILENCE);
+                second.next(Act.SILENCE);
+            });
+            EntryHost host = loneHost();
+            assertThat(eventIds(rig.stream(host, "r1"))).isEqualTo(allEvents());
+            assertThat(receivedInAll(first, second)).isEqualTo(3);
+        }
+
+        @Test
+        void is_ended_at_the_server_when_its_caller_leaves() throws IOException {
+            RunnerStandIn backend = rig.backend("llm", "i-1", "v1");
+            rig.onLoop(() -> backend.next(Act.SILENCE));
+            EntryHost host = loneHost();
+            try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), host.callerPort())) {
+                socket.getOutputStream()
+                        .write(PlatformExample.streamRequest("r1", PlatformRig.KEY)
+                                .getBytes(StandardCharsets.UTF_8));
+                rig.await(() -> receivedInAll(backend) == 1);
+            }
+            rig.await(() -> rig.onLoop(backend::callersLeft) == 1);
+        }
+    }
+
+    @Nested
+    final class APlainRequest {
+        private RunnerStandIn first;
+        private RunnerStandIn second;
+
+        private EntryHost hostWithTwoServers() {
+            first = rig.backend("desk", "d-1", "v1");
+            second = rig.backend("desk", "d-2", "v1");
+            return loneHost();
+        }
+
+        private void both(Act act) {
+            rig.onLoop(() -> {
+                first.next(act);
+                second.next(act);
+            });
+        }
+
+        @Test
+        void that_is_idempotent_is_sent_again_after_a_lost_answer() {
+            EntryHost host = hostWithTwoServers();
+            rig.onLoop(() -> first.next(Act.LOSE_ANSWER));
+            rig.onLoop(() -> second.next(Act.ANSWER, Act.ANSWER));
+            assertThat(rig.plain(host, "GET", "/lookups/x", "r1")).startsWith("HTTP/1.1 200");
+        }
+
+        @Test
+        void that_is_idempotent_is_sent_again_after_a_failure() {
+            EntryHost host = hostWithTwoServers();
+            rig.onLoop(() -> first.next(Act.FAIL));
+            assertThat(rig.plain(host, "GET", "/lookups/x", "r1")).startsWith("HTTP/1.1 200");
+        }
+
+        @Test
+        void that_may_run_once_is_not_sent_again_and_not_called_unrun_after_a_lost_answer() {
+            EntryHost host = hostWithTwoServers();
+            both(Act.LOSE_ANSWER);
+            assertThat(rig.plain(host, "POST", "/bookings/x", "r1")).startsWith("HTTP/1.1 502");
+            assertThat(receivedInAll(first, second)).isEqualTo(1);
+        }
+
+        @Test
+        void that_no_server_ran_is_refused_with_a_time_to_come_back() {
+            EntryHost host = hostWithTwoServers();
+            both(Act.REFUSE);
+            String answer = rig.plain(host, "POST", "/bookings/x", "r1");
+            assertThat(answer).startsWith("HTTP/1.1 503");
+            assertThat(answer).contains("retry-after: ");
+        }
+
+        @Test
+        void never_gets_the_answer_of_another_request() {
+            EntryHost host = hostWithTwoServers();
+            both(Act.ANSWER_ANOTHER);
+            assertThat(rig.plain(host, "POST", "/bookings/x", "r1")).startsWith("HTTP/1.1 504");
+        }
+
+        @Test
+        void is_not_run_by_a_server_that_took_over_the_address() {
+            EntryHost host = hostWithTwoServers();
+            rig.onLoop(() -> {
+                first.restartAs("d-8");
+                second.restartAs("d-9");
+            });
+            assertThat(rig.plain(host, "POST", "/bookings/x", "r1")).startsWith("HTTP/1.1 503");
+            assertThat(receivedInAll(first, second)).isEqualTo(0);
+        }
+
+        @Test
+        void with_an_unknown_key_is_unauthorized_and_without_a_route_not_found() {
+            EntryHost host = hostWithTwoServers();
+            String stranger = PlatformRig.closing(PlatformExample.plainRequest("GET", "/lookups/x", "r1", "k9"));
+            assertThat(PlatformRig.exchange(host.callerPort(), stranger)).startsWith("HTTP/1.1 401");
+            assertThat(rig.plain(host, "GET", "/nowhere/x", "r2")).startsWith("HTTP/1.1 404");
+        }
+    }
+
+    @Nested
+    final class Knowledge {
+        @Test
+        void of_a_removed_key_comes_into_force() {
+            rig.backend("desk", "d-1", "v1");
+            EntryHost host = loneHost();
+            assertThat(rig.plain(host, "GET", "/lookups/x", "r1")).startsWith("HTTP/1.1 200");
+            rig.onLoop(() -> rig.store.put("op/config", PlatformExample.configuration(4, "k2")));
+            rig.await(() -> rig.plain(host, "GET", "/lookups/x", "r2").startsWith("HTTP/1.1 401"));
+        }
+
+        @Test
+        void of_an_older_configuration_changes_nothing() {
+            rig.backend("desk", "d-1", "v1");
+            EntryHost host = loneHost();
+            rig.onLoop(() -> rig.store.put("op/config", PlatformExample.configuration(4, "k2")));
+            rig.await(() -> rig.plain(host, "GET", "/lookups/x", "r1").startsWith("HTTP/1.1 401"));
+            rig.onLoop(() -> rig.store.put("op/config", PlatformExample.configuration(3, PlatformRig.KEY)));
+            rig.onLoop(() -> rig.store.put("servers/d-9", PlatformExample.backend("desk", 1, "v1", "draining")));
+            rig.await(() -> rig.get(host.metricsPort(), "/metrics").contains("store_values_unreadable"));
+            assertThat(rig.plain(host, "GET", "/lookups/x", "r2")).startsWith("HTTP/1.1 401");
+        }
+
+        @Test
+        void of_a_draining_server_keeps_new_requests_from_it() {
+            RunnerStandIn leaving = rig.backend("desk", "d-1", "v1");
+            RunnerStandIn staying = rig.backend("desk", "d-2", "v1");
+            EntryHost host = loneHost();
+            rig.onLoop(() -> rig.store.put(
+                    "servers/d-1", PlatformExample.backend("desk", rig.backendPort("d-1"), "v1", "draining")));
+            rig.onLoop(() -> rig.store.put("servers/d-3", "{\"state\":1}"));
+            rig.await(() -> rig.get(host.metricsPort(), "/metrics").contains("store_values_unreadable_total 1"));
+            int before = receivedInAll(leaving);
+            IntStream.range(0, 6).forEach(index -> rig.plain(host, "GET", "/lookups/x", "r" + index));
+            assertThat(receivedInAll(leaving)).isEqualTo(before);
+            assertThat(receivedInAll(staying)).isAtLeast(6);
+        }
+
+        @Test
+        void survives_an_outage_of_the_store() {
+            rig.backend("desk", "d-1", "v1");
+            EntryHost host = loneHost();
+            rig.onLoop(() -> rig.store.setFault(StoreStandIn.Fault.REFUSING));
+            assertThat(rig.plain(host, "GET", "/lookups/x", "r1")).startsWith("HTTP/1.1 200");
+            assertThat(rig.ready(host)).isTrue();
+        }
+
+        @Test
+        void is_listed_anew_when_the_store_has_dropped_its_history() {
+            rig.backend("desk", "d-1", "v1");
+            EntryHost host = loneHost();
+            rig.onLoop(() -> {
+                rig.store.setFault(StoreStandIn.Fault.REFUSING);
+                rig.store.put("op/config", PlatformExample.configuration(4, "k2"));
+                rig.store.dropHistory();
+                rig.store.setFault(StoreStandIn.Fault.NONE);
+            });
+            rig.await(() -> rig.plain(host, "GET", "/lookups/x", "r1").startsWith("HTTP/1.1 401"));
+        }
+
+        @Test
+        void reaches_a_host_that_starts_while_the_store_is_away() {
+            rig.backend("desk", "d-1", "v1");
+            int firstPeer = PlatformRig.freePort();
+            rig.host("entry-1", firstPeer, List.of());
+            rig.onLoop(() -> rig.store.setFault(StoreStandIn.Fault.REFUSING));
+            EntryHost late = rig.host("entry-2", PlatformRig.freePort(), List.of(firstPeer));
+            assertThat(rig.plain(late, "GET", "/lookups/x", "r1")).startsWith("HTTP/1.1 200");
+        }
+    }
+
+    @Nested
+    final class ARollout {
+        private void order(double seconds) {
+            rig.onLoop(() -> rig.store.put(
+                    "op/rollout/llm", "{\"service\":\"llm\",\"target\":\"v2\",\"duration_s\":" + seconds + "}"));
+        }
+
+        private String state() {
+            return rig.onLoop(() -> rig.store.read("status/rollout/llm").orElse(""));
+        }
+
+        @Test
+        void of_a_good_version_is_completed() {
+            rig.backend("llm", "i-1", "v1");
+            rig.backend("llm", "i-2", "v2");
+            loneHost();
+            order(1.5);
+            rig.await(() -> state().contains("\"completed\""));
+            assertThat(state()).contains("\"target\":\"v2\"");
+        }
+
+        @Test
+        void of_a_bad_version_is_reverted_and_gets_no_further_request() {
+            rig.backend("llm", "i-1", "v1");
+            RunnerStandIn bad = rig.backend("llm", "i-2", "v2");
+            EntryHost host = loneHost();
+            rig.onLoop(() -> IntStream.range(0, 500).forEach(_index -> bad.next(Act.FAIL)));
+            order(3.0);
+            int[] sent = new int[1];
+            rig.await(() -> {
+                sent[0]++;
+                rig.stream(host, "r" + sent[0]);
+                return state().contains("\"reverted\"");
+            });
+            int before = receivedInAll(bad);
+            IntStream.range(0, 10).forEach(index -> rig.stream(host, "after" + index));
+            assertThat(receivedInAll(bad)).isEqualTo(before);
+        }
+
+        @Test
+        void is_written_once_though_the_stores_answers_are_lost() {
+            rig.backend("llm", "i-1", "v1");
+            rig.backend("llm", "i-2", "v2");
+            loneHost();
+            rig.onLoop(() -> rig.store.setFault(StoreStandIn.Fault.LOSING_ANSWERS));
+            order(1.0);
+            rig.await(() -> state().contains("\"completed\""));
+        }
+    }
+
+    @Nested
+    final class AStop {
+        @Test
+        void lets_a_request_in_progress_end_and_says_that_the_host_is_not_ready() {
+            rig.backend("desk", "d-1", "v1");
+            EntryHost host = loneHost();
+            CompletableFuture<Void> stopped = host.stop();
+            rig.await(() -> !rig.ready(host));
+            assertThat(rig.plain(host, "GET", "/lookups/x", "r1")).startsWith("HTTP/1.1 200");
+            stopped.join();
+            assertThat(rig.plain(host, "GET", "/lookups/x", "r2")).startsWith("connection failed");
+        }
+    }
+}
--- /dev/null
+++ b/entry/src/test/java/io/heatherloft/entry/PlatformRig.java
@@ -0,0 +1,175 @@
+package io.heatherloft.entry;
+
+import io.heatherloft.domain.route.CallerLimits;
+import io.heatherloft.platform.PlatformSettings;
+import io.heatherloft.ports.loop.Loop;
+import io.heatherloft.router.NettyLoop;
+import io.heatherloft.router.http.CallerHandler;
+import io.heatherloft.router.http.CallerServer;
+import io.heatherloft.standins.platform.PlatformExample;
+import io.heatherloft.standins.platform.RunnerStandIn;
+import io.heatherloft.standins.platform.StoreStandIn;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.BooleanSupplier;
+import java.util.function.Supplier;
+
+/**
+ * Entry hosts with stand-ins of the platform around them, over loopback sockets.
+ *
+ * <p>The stand-ins run on a loop of their own; tests reach them through {@link #onLoop}.
+ */
+final class PlatformRig implements AutoCloseable {
+    static final String KEY = "k1";
+    private static final long WAIT_LIMIT_MILLIS = 20_000L;
+    private static final long POLL_MILLIS = 10L;
+
+    final StoreStandIn store;
+    private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final Loop loop = new NettyLoop(group.next());
+    private final List<EntryHost> hosts = new ArrayList<>();
+    private final Map<String, RunnerStandIn> backends = new LinkedHashMap<>();
+    private final Map<String, Integer> backendPorts = new LinkedHashMap<>();
+    private final int storePort;
+
+    PlatformRig() {
+        store = new StoreStandIn(loop);
+        storePort = listen(store);
+        onLoop(() -> store.put("op/config", PlatformExample.configuration(1, KEY)));
+    }
+
+    /** Starts a backend server and enters it in the store. */
+    RunnerStandIn backend(String service, String id, String version) {
+        RunnerStandIn backend = new RunnerStandIn(loop, id, 8);
+        backends.put(id, backend);
+        backendPorts.put(id, listen(backend));
+        onLoop(() -> store.put("servers/" + id, PlatformExample.backend(service, backendPorts.get(id), version)));
+        return backend;
+    }
+
+    int backendPort(String id) {
+        return backendPorts.get(id);
+    }
+
+    private int listen(CallerHandler handler) {
+        CallerServer server = new CallerServer(group, loop, () -> CallerLimits.DEFAULT, handler, _status -> {});
+        server.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0))
+                .join();
+        return server.port();
+    }
+
+    /** Starts a host that knows the other hosts' peer addresses and has learned the backend servers. */
+    EntryHost host(String name, int peerPort, List<Integer> seedPorts) {
+        EntryHost host = startHost(name, peerPort, seedPorts);
+        await(() -> ready(host));
+        return host;
+    }
+
+    EntryHost startHost(String name, int peerPort, List<Integer> seedPorts) {
+        PlatformSettings settings = new PlatformSettings(
+                name,
+                "127.0.0.1",
+                "a",
+                "127.0.0.1:0",
+                "127.0.0.1:0",
+                Optional.of("127.0.0.1:" + peerPort),
+                seedPorts.stream().map(port -> "127.0.0.1:" + port).toList(),
+                0,
+                "127.0.0.1:" + storePort,
+                8_000L,
+                5_000L,
+                0.9,
+                52,
+                10_000L);
+        EntryHost host = EntryHost.start(settings, 0);
+        hosts.add(host);
+        return host;
+    }
+
+    boolean ready(EntryHost host) {
+        return get(host.readyPort(), "/v1/ready").startsWith("HTTP/1.1 200");
+    }
+
+    String get(int port, String path) {
+        return exchange(port, "GET " + path + " HTTP/1.1\r\nHost: a.example\r\nConnection: close\r\n\r\n");
+    }
+
+    /** Sends a request and returns everything up to the end of the connection. */
+    static String exchange(int port, String request) {
+        try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), port)) {
+            socket.setSoTimeout((int) WAIT_LIMIT_MILLIS);
+            socket.getOutputStream().write(request.getBytes(StandardCharsets.UTF_8));
+            return new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+        } catch (IOException exception) {
+            return "connection failed: " + exception.getMessage();
+        }
+    }
+
+    String stream(EntryHost host, String id) {
+        return exchange(host.callerPort(), closing(PlatformExample.streamRequest(id, KEY)));
+    }
+
+    String plain(EntryHost host, String method, String path, String id) {
+        return exchange(host.callerPort(), closing(PlatformExample.plainRequest(method, path, id, KEY)));
+    }
+
+    static String closing(String request) {
+        return request.replaceFirst("\r\n", "\r\nConnection: close\r\n");
+    }
+
+    <T> T onLoop(Supplier<T> task) {
+        CompletableFuture<T> result = new CompletableFuture<>();
+        loop.execute(() -> result.complete(task.get()));
+        return result.join();
+    }
+
+    void onLoop(Runnable task) {
+        onLoop(() -> {
+            task.run();
+            return true;
+        });
+    }
+
+    /** Waits for something that must come about; the limit only ends a test that has failed. */
+    void await(BooleanSupplier condition) {
+        long limit = System.nanoTime() + WAIT_LIMIT_MILLIS * 1_000_000L;
+        while (!condition.getAsBoolean()) {
+            if (System.nanoTime() > limit) {
+                throw new IllegalStateException("condition did not come about");
+            }
+            try {
+                Thread.sleep(POLL_MILLIS);
+            } catch (InterruptedException exception) {
+                throw new IllegalStateException(exception);
+            }
+        }
+    }
+
+    static int freePort() {
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            return socket.getLocalPort();
+        } catch (IOException exception) {
+            throw new IllegalStateException(exception);
+        }
+    }
+
+    @Override
+    public void close() {
+        hosts.forEach(EntryHost::kill);
+        io.netty.util.concurrent.Future<?> _ended =
+                group.shutdownGracefully(0, 0, java.util.concurrent.TimeUnit.MILLISECONDS);
+    }
+}
--- a/router/src/main/java/io/heatherloft/router/http/CallerServer.java
+++ b/router/src/main/java/io/heatherloft/router/http/CallerServer.java
@@ -84,6 +84,11 @@
         return bound;
     }
 
+    /** Returns the port that is listened on. */
+    public int port() {
+        return ((InetSocketAddress) listening.localAddress()).getPort();
+    }
+
     /** Answers from now on end their connections. */
     public void drain() {
         draining = true;
--- a/router/src/main/java/io/heatherloft/router/request/RequestExecution.java
+++ b/router/src/main/java/io/heatherloft/router/request/RequestExecution.java
@@ -310,7 +310,7 @@
         engine.log().request("retry", facts.attemptId().orElse(""), line -> line.with("reason", reason)
                 .with("backend_id", attempt.server().entry().id())
                 .with("sends", sends)
-                .with("max_attempts", route.maxAttempts())
+                .with("send_limit", route.maxAttempts())
                 .with("time_left_ms", timeLeftMillis())
                 .with("outcome", granted ? "granted" : "denied"));
         return granted;
--- /dev/null
+++ b/router/src/test/java/io/heatherloft/router/backend/BackendPoolTest.java
@@ -0,0 +1,228 @@
+package io.heatherloft.router.backend;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.heatherloft.ports.loop.Loop;
+import io.heatherloft.router.NettyLoop;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpVersion;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+/** Each server here misbehaves in one way; bytes are written by hand, since no library writes such answers. */
+final class BackendPoolTest {
+    private static final String HEAD = "HTTP/1.1 200 OK\r\nX-Attempt-Id: mine\r\nKeep-Alive: timeout=5\r\n";
+
+    private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final Loop loop = new NettyLoop(group.next());
+    private final BackendPool pool = new BackendPool(group, loop, PoolSettings.DEFAULT);
+    private final AtomicInteger accepted = new AtomicInteger();
+
+    @AfterEach
+    void close() {
+        io.netty.util.concurrent.Future<?> _ended =
+                group.shutdownGracefully(0, 0, java.util.concurrent.TimeUnit.MILLISECONDS);
+    }
+
+    /** Plays one side of each connection after another. */
+    @FunctionalInterface
+    private interface Play {
+        void on(Socket socket, int number) throws IOException;
+    }
+
+    private BackendTarget server(Play play) throws IOException {
+        ServerSocket listening = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        Thread thread = new Thread(() -> {
+            while (true) {
+                try {
+                    Socket socket = listening.accept();
+                    play.on(socket, accepted.incrementAndGet());
+                } catch (IOException exception) {
+                    System.err.println("server: " + exception.getMessage());
+                }
+            }
+        });
+        thread.setDaemon(true);
+        thread.start();
+        return new BackendTarget("b", "127.0.0.1:" + listening.getLocalPort());
+    }
+
+    private static void readRequest(Socket socket) throws IOException {
+        InputStream input = socket.getInputStream();
+        StringBuilder seen = new StringBuilder();
+        while (seen.indexOf("\r\n\r\n") < 0) {
+            int next = input.read();
+            if (next < 0) {
+                throw new IOException("connection ended within a request");
+            }
+            seen.append((char) next);
+        }
+    }
+
+    private static void write(Socket socket, String bytes) throws IOException {
+        socket.getOutputStream().write(bytes.getBytes(StandardCharsets.ISO_8859_1));
+        socket.getOutputStream().flush();
+    }
+
+    private String send(BackendTarget target) {
+        Recorder recorder = new Recorder();
+        loop.execute(() -> {
+            FullHttpRequest request =
+                    new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/", Unpooled.EMPTY_BUFFER);
+            BackendExchange _exchange = pool.send(target, request, recorder);
+        });
+        return recorder.outcome.join();
+    }
+
+    private static final class Recorder implements AnswerListener {
+        private final CompletableFuture<String> outcome = new CompletableFuture<>();
+        private final StringBuilder body = new StringBuilder();
+
+        @Override
+        public boolean onHead(int _status, HttpHeaders headers) {
+            return headers.get("X-Attempt-Id", "mine").equals("mine");
+        }
+
+        @Override
+        public void onPart(ByteBuf part) {
+            body.append(part.toString(StandardCharsets.ISO_8859_1));
+        }
+
+        @Override
+        public void onEnd() {
+            outcome.complete("whole: " + body);
+        }
+
+        @Override
+        public void onFailure(ExchangeFailure failure) {
+            outcome.complete(failure.kind().name());
+        }
+    }
+
+    @Nested
+    final class AnAnswer {
+        @Test
+        void without_a_length_is_whole_when_its_connection_is_closed() throws IOException {
+            BackendTarget target = server((socket, _number) -> {
+                readRequest(socket);
+                write(socket, HEAD + "\r\nbody");
+                socket.close();
+            });
+            assertThat(send(target)).isEqualTo("whole: body");
+        }
+
+        @Test
+        void without_a_length_is_broken_when_its_connection_is_reset() throws IOException {
+            BackendTarget target = server((socket, _number) -> {
+                readRequest(socket);
+                write(socket, HEAD + "\r\nbody");
+                socket.setSoLinger(true, 0);
+                socket.close();
+            });
+            assertThat(send(target)).isEqualTo("BROKEN");
+        }
+
+        @Test
+        void shorter_than_its_length_is_broken() throws IOException {
+            BackendTarget target = server((socket, _number) -> {
+                readRequest(socket);
+                write(socket, HEAD + "Content-Length: 10\r\n\r\nbody");
+                socket.close();
+            });
+            assertThat(send(target)).isEqualTo("BROKEN");
+        }
+
+        @Test
+        void that_is_no_answer_is_broken() throws IOException {
+            BackendTarget target = server((socket, _number) -> {
+                readRequest(socket);
+                write(socket, "what is this\r\n\r\n");
+            });
+            assertThat(send(target)).isEqualTo("BROKEN");
+        }
+
+        @Test
+        void of_another_request_is_dropped_and_the_next_one_awaited() throws IOException {
+            BackendTarget target = server((socket, _number) -> {
+                readRequest(socket);
+                write(socket, "HTTP/1.1 200 OK\r\nX-Attempt-Id: other\r\nContent-Length: 3\r\n\r\nold");
+                write(socket, HEAD + "Content-Length: 3\r\n\r\nnew");
+            });
+            assertThat(send(target)).isEqualTo("whole: new");
+        }
+
+        @Test
+        void is_not_called_unsent_when_the_connection_closes_without_one() throws IOException {
+            BackendTarget target = server((socket, _number) -> {
+                readRequest(socket);
+                socket.close();
+            });
+            assertThat(send(target)).isEqualTo("BROKEN");
+        }
+    }
+
+    @Nested
+    final class AConnection {
+        @Test
+        void is_used_again_after_a_framed_answer() throws IOException {
+            BackendTarget target = server((socket, _number) -> {
+                for (int answers = 0; answers < 2; answers++) {
+                    readRequest(socket);
+                    write(socket, HEAD + "Content-Length: 2\r\n\r\nok");
+                }
+            });
+            assertThat(send(target)).isEqualTo("whole: ok");
+            assertThat(send(target)).isEqualTo("whole: ok");
+            assertThat(accepted.get()).isEqualTo(1);
+        }
+
+        @Test
+        void is_not_used_again_after_bytes_that_belong_to_no_request() throws IOException {
+            BackendTarget target = server((socket, _number) -> {
+                readRequest(socket);
+                write(socket, HEAD + "Content-Length: 2\r\n\r\nok" + HEAD + "Content-Length: 5\r\n\r\nextra");
+            });
+            assertThat(send(target)).isEqualTo("whole: ok");
+            while (accepted.get() == 1) {
+                assertThat(send(target)).isEqualTo("whole: ok");
+            }
+            assertThat(accepted.get()).isEqualTo(2);
+        }
+
+        @Test
+        void is_not_used_again_when_its_server_says_so() throws IOException {
+            BackendTarget target = server((socket, _number) -> {
+                readRequest(socket);
+                write(socket, HEAD + "Connection: close\r\nContent-Length: 2\r\n\r\nok");
+            });
+            assertThat(send(target)).isEqualTo("whole: ok");
+            assertThat(send(target)).isEqualTo("whole: ok");
+            assertThat(accepted.get()).isEqualTo(2);
+        }
+
+        @Test
+        void that_cannot_be_made_leaves_the_request_unsent() throws IOException {
+            ServerSocket closed = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+            closed.close();
+            assertThat(send(new BackendTarget("b", "127.0.0.1:" + closed.getLocalPort())))
+                    .isEqualTo("NOT_SENT");
+        }
+    }
+}
--- /dev/null
+++ b/router/src/test/java/io/heatherloft/router/fleet/SharedValuesTest.java
@@ -0,0 +1,61 @@
+package io.heatherloft.router.fleet;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.heatherloft.domain.Bytes;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.TreeMap;
+import java.util.stream.Collectors;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+final class SharedValuesTest {
+    private static Map<String, Long> present(SharedValues values) {
+        return values.present().stream()
+                .collect(Collectors.toMap(SharedValues.Change::key, SharedValues.Change::revision));
+    }
+
+    @Nested
+    final class ChangesInAnyOrder {
+        @Test
+        void end_as_if_they_had_come_in_the_order_of_their_revisions() {
+            for (int seed = 0; seed < 200; seed++) {
+                Random random = new Random(seed);
+                TreeMap<Long, SharedValues.Change> history = new TreeMap<>();
+                for (long revision = 1; revision <= 40; revision++) {
+                    Optional<Bytes> value =
+                            random.nextBoolean() ? Optional.of(Bytes.ofText("v" + revision)) : Optional.empty();
+                    history.put(revision, new SharedValues.Change("k" + random.nextInt(6), revision, value));
+                }
+                Map<String, Long> expected = new TreeMap<>();
+                history.values().forEach(change -> {
+                    if (change.value().isPresent()) {
+                        expected.put(change.key(), change.revision());
+                    } else {
+                        expected.remove(change.key());
+                    }
+                });
+                SharedValues values = new SharedValues("k");
+                java.util.List<SharedValues.Change> shuffled = new java.util.ArrayList<>(history.values());
+                java.util.Collections.shuffle(shuffled, random);
+                shuffled.forEach(values::accept);
+                assertThat(present(values)).isEqualTo(expected);
+            }
+        }
+    }
+
+    @Nested
+    final class Deletions {
+        @Test
+        void that_were_dropped_make_a_host_that_missed_them_ask_for_a_snapshot() {
+            SharedValues values = new SharedValues("k");
+            for (int revision = 1; revision <= SharedValues.MAX_DELETIONS + 5; revision++) {
+                values.accept(new SharedValues.Change("k" + revision, revision, Optional.empty()));
+            }
+            assertThat(values.needsSnapshot(4)).isTrue();
+            assertThat(values.needsSnapshot(5)).isFalse();
+        }
+    }
+}
--- a/standins/src/main/java/io/heatherloft/standins/platform/PlatformExample.java
+++ b/standins/src/main/java/io/heatherloft/standins/platform/PlatformExample.java
@@ -13,7 +13,7 @@
         return """
                 {"version":%d,"routes":[
                 {"name":"plans","host":"a.example","prefix":"/plans/","route_type":"stream","timeout_ms":25000,
-                "objective_ms":3000,"priority":1,"sizes":["small","large"],"service":"llm","max_attempts":3,
+                "objective_ms":1000,"priority":1,"sizes":["small","large"],"service":"llm","max_attempts":3,
                 "stream_resume":true,"session_affinity":true,"gap_target_ms":1000},
                 {"name":"bookings","host":"a.example","prefix":"/bookings/","route_type":"non_idempotent",
                 "timeout_ms":2000,"objective_ms":100,"priority":2,"service":"desk","max_attempts":1},
--- a/standins/src/main/java/io/heatherloft/standins/platform/RunnerStandIn.java
+++ b/standins/src/main/java/io/heatherloft/standins/platform/RunnerStandIn.java
@@ -26,7 +26,7 @@
     private static final int SERVER_ERROR = 500;
 
     private final Loop loop;
-    private final String id;
+    private String id;
     private final int events;
     private final Deque<Act> acts = new ArrayDeque<>();
     private final List<CallerRequest> received = new ArrayList<>();
@@ -72,6 +72,11 @@
         this.confidence = newConfidence;
     }
 
+    /** Sets the identity that the server has from now on. */
+    public void restartAs(String newId) {
+        id = newId;
+    }
+
     /** Returns the requests received, in order. */
     public List<CallerRequest> received() {
         return received;
