A request moves on after silence of its whole server, or twice the usual time

Servers were chosen by requests in progress, which decode cheaply, not by the prompts they still read. Change: the short limit holds only while nothing at all arrives from the server; else twice the objective or pause. Placement counts unread prompt tokens and weighs an answer in progress little. Ruled out: the larger retry budget alone (escalations granted were the same).

--- a/domain/src/main/java/io/heatherloft/domain/route/BackendChoice.java
+++ b/domain/src/main/java/io/heatherloft/domain/route/BackendChoice.java
@@ -14,9 +14,9 @@
  * several threads.
  */
 public final class BackendChoice {
-    // Time by which one more request in progress delays the first token of the next, in milliseconds: the share of a
-    // step that reads prompts, from the engines' published step times.
-    private static final double ENGINE_REQUEST_MILLIS = 18.0;
+    // Time by which one more answer in progress delays the first token of the next request, in milliseconds: steps of
+    // an engine get longer by two hundredths of a millisecond each, and room in the batch gets scarce.
+    private static final double ENGINE_REQUEST_MILLIS = 2.0;
     // Prompt tokens that a large model reads in a millisecond: a third of the published 68 of a small one.
     private static final double ENGINE_TOKENS_PER_MILLI = 22.0;
     // Requests on a plain service run side by side; this is a usual working time.
@@ -30,7 +30,8 @@
     /**
      * A server that may run the request.
      *
-     * @param load requests in progress on it, as far as known
+     * @param load requests in progress on it, of all hosts as far as known
+     * @param unreadTokens tokens of prompts that this host has sent to it and that it has not begun to answer
      * @param slots requests that it runs at once
      * @param remembersPrefix true if a request with the same shared part was sent to it lately
      * @param failureRate smoothed share of requests that failed on it
@@ -39,6 +40,7 @@
             T server,
             long idHash,
             double load,
+            long unreadTokens,
             int slots,
             boolean remembersPrefix,
             boolean sameZone,
@@ -70,8 +72,8 @@
             return perSlot * PLAIN_REQUEST_MILLIS + zoneMillis + failureMillis;
         }
         boolean cached = preferred || candidate.remembersPrefix();
-        double readMillis = cached ? 0 : sharedTokens / ENGINE_TOKENS_PER_MILLI;
-        return candidate.load() * ENGINE_REQUEST_MILLIS + readMillis + failureMillis;
+        long tokens = candidate.unreadTokens() + (cached ? 0 : sharedTokens);
+        return candidate.load() * ENGINE_REQUEST_MILLIS + tokens / ENGINE_TOKENS_PER_MILLI + failureMillis;
     }
 
     private static <T> long weight(Candidate<T> candidate, long prefixHash) {
--- a/domain/src/test/java/io/heatherloft/domain/route/RouteDecisionsTest.java
+++ b/domain/src/test/java/io/heatherloft/domain/route/RouteDecisionsTest.java
@@ -80,7 +80,7 @@
         private List<BackendChoice.Candidate<Integer>> idle(int count) {
             return IntStream.range(0, count)
                     .mapToObj(index -> new BackendChoice.Candidate<>(
-                            index, StableHash.of("server " + index), 0, 64, false, true, 0))
+                            index, StableHash.of("server " + index), 0, 0, 64, false, true, 0))
                     .toList();
         }
 
@@ -104,7 +104,14 @@
             for (int request = 0; request < 400; request++) {
                 List<BackendChoice.Candidate<Integer>> candidates = IntStream.range(0, 8)
                         .mapToObj(index -> new BackendChoice.Candidate<>(
-                                index, StableHash.of("server " + index), loads[index], 64, false, true, 0))
+                                index,
+                                StableHash.of("server " + index),
+                                loads[index],
+                                loads[index] * 600L,
+                                64,
+                                false,
+                                true,
+                                0))
                         .toList();
                 String prefix = random.nextInt(3) == 0 ? "hot" : "prefix " + random.nextInt(100);
                 int chosen = BackendChoice.choose(candidates, StableHash.of(prefix), 5_000)
@@ -118,8 +125,8 @@
         @Test
         void avoids_a_server_that_fails_half_of_its_requests() {
             List<BackendChoice.Candidate<Integer>> candidates = List.of(
-                    new BackendChoice.Candidate<>(0, 1, 0, 6, false, true, 0.5),
-                    new BackendChoice.Candidate<>(1, 2, 3, 6, false, false, 0));
+                    new BackendChoice.Candidate<>(0, 1, 0, 0, 6, false, true, 0.5),
+                    new BackendChoice.Candidate<>(1, 2, 3, 0, 6, false, false, 0));
             for (int request = 0; request < 50; request++) {
                 assertThat(BackendChoice.choose(candidates, StableHash.of("r" + request), 0))
                         .isEqualTo(Optional.of(1));
--- a/router/src/main/java/io/heatherloft/router/fleet/BackendServerState.java
+++ b/router/src/main/java/io/heatherloft/router/fleet/BackendServerState.java
@@ -21,6 +21,8 @@
     private long revision;
     private boolean missing;
     private int outstanding;
+    private long unreadTokens;
+    private long lastNewsMillis;
 
     BackendServerState(BackendEntry entry, long revision, long nowMillis) {
         this.entry = entry;
@@ -95,6 +97,26 @@
         health.onDispatch();
     }
 
+    /** Returns the loop time at which something last arrived from the server. */
+    public long lastNewsMillis() {
+        return lastNewsMillis;
+    }
+
+    /** Something has arrived from the server. */
+    public void onNews(long nowMillis) {
+        lastNewsMillis = nowMillis;
+    }
+
+    /** Returns the tokens of prompts sent to the server that it has not begun to answer. */
+    public long unreadTokens() {
+        return unreadTokens;
+    }
+
+    /** A prompt was sent to the server, or it has begun to answer one: a negative number of tokens. */
+    public void addUnreadTokens(long tokens) {
+        unreadTokens += tokens;
+    }
+
     /** A request on the server has ended. */
     public void end() {
         outstanding--;
--- a/router/src/main/java/io/heatherloft/router/request/Attempt.java
+++ b/router/src/main/java/io/heatherloft/router/request/Attempt.java
@@ -22,6 +22,7 @@
  */
 final class Attempt implements AnswerListener {
     private static final int OK = 200;
+    private static final long SILENCE_CHECK_MILLIS = 250L;
     private static final int MISDIRECTED = 421;
     private static final int MULTIPLE_CHOICES = 300;
     private static final int SERVER_ERROR = 500;
@@ -38,9 +39,16 @@
     private long firstEventMillis = -1;
     private long lastNewsMillis;
     private Loop.Cancellation silenceTimer = () -> {};
+    private long unreadTokens;
     private boolean over;
 
-    Attempt(RequestExecution execution, BackendServerState server, int number) {
+    /**
+     * Creates an attempt.
+     *
+     * @param unreadTokens tokens of the prompt that the server has to read before it answers
+     */
+    Attempt(RequestExecution execution, BackendServerState server, int number, long unreadTokens) {
+        this.unreadTokens = unreadTokens;
         this.execution = execution;
         this.server = server;
         this.number = number;
@@ -69,6 +77,7 @@
                 outgoing,
                 EmptyHttpHeaders.INSTANCE);
         server.begin();
+        server.addUnreadTokens(unreadTokens);
         execution
                 .engine()
                 .log()
@@ -90,10 +99,13 @@
         if (over) {
             return;
         }
-        execution.silenceMillis(firstEventMillis >= 0).ifPresent(limitMillis -> {
+        boolean serverSilent = server.lastNewsMillis() <= lastNewsMillis;
+        execution.silenceMillis(firstEventMillis >= 0, serverSilent).ifPresent(limitMillis -> {
             long leftMillis =
                     lastNewsMillis + limitMillis - execution.engine().loop().nowMillis();
             if (leftMillis > 0) {
+                // The server may fall silent, or be heard of, meanwhile.
+                leftMillis = Math.min(leftMillis, SILENCE_CHECK_MILLIS);
                 silenceTimer = execution.engine().loop().schedule(leftMillis, this::awaitNews);
             } else if (execution.movesAfterSilence(this)) {
                 server.health().recordFailure(execution.engine().loop().nowMillis());
@@ -118,8 +130,20 @@
         }
     }
 
+    private void onNews() {
+        lastNewsMillis = execution.engine().loop().nowMillis();
+        server.onNews(lastNewsMillis);
+    }
+
+    private void promptIsRead() {
+        server.addUnreadTokens(-unreadTokens);
+        unreadTokens = 0;
+    }
+
     @Override
     public boolean onHead(int newStatus, HttpHeaders newHeaders) {
+        promptIsRead();
+        onNews();
         AnswerFacts facts = execution.engine().dialect().readAnswer(newStatus, newHeaders);
         if (facts.attemptId().isPresent()
                 && !facts.attemptId().equals(execution.facts().attemptId())) {
@@ -160,7 +184,7 @@
             body.writeBytes(part);
         } else if (mode == Mode.STREAM) {
             execution.relay().accept(part);
-            lastNewsMillis = execution.engine().loop().nowMillis();
+            onNews();
             if (firstEventMillis < 0 && execution.relay().passedOn() > 0) {
                 firstEventMillis = execution.engine().loop().nowMillis() - sentAtMillis;
             }
@@ -240,6 +264,7 @@
     private void end() {
         over = true;
         silenceTimer.cancel();
+        promptIsRead();
         server.end();
     }
 
--- a/router/src/main/java/io/heatherloft/router/request/BackendChooser.java
+++ b/router/src/main/java/io/heatherloft/router/request/BackendChooser.java
@@ -78,6 +78,7 @@
                 server,
                 server.idHash(),
                 server.outstanding() + reports.loadOf(server.entry().id()),
+                server.unreadTokens(),
                 server.entry().slots(),
                 shared.map(server::remembersPrefix).orElse(false),
                 server.entry().availabilityZone().equals(availabilityZone),
--- a/router/src/main/java/io/heatherloft/router/request/RequestExecution.java
+++ b/router/src/main/java/io/heatherloft/router/request/RequestExecution.java
@@ -33,11 +33,11 @@
     private static final int SUFFICIENT_CONFIDENCE = 50;
     // Repeated sends that are kept back for failures when a larger model would take one.
     private static final double ESCALATION_RESERVE = 2;
-    // Time without an event, as a fraction of the longest pause that is still on time, after which a stream is resumed
-    // elsewhere: enough is left for the other server to go on within that pause.
-    private static final double SILENT_PAUSE_FRACTION = 0.6;
-    // Time without an answer, as a multiple of the response-time objective, after which a request is sent elsewhere.
-    private static final double SILENT_ANSWER_FACTOR = 1.0;
+    // Time without news from a server on any connection, as a fraction of the objective or of the longest pause, after
+    // which its requests go on elsewhere: enough is left for an answer on time.
+    private static final double SILENT_SERVER_FRACTION = 0.6;
+    // Time without news of one request, as a multiple of the same, while its server answers others.
+    private static final double SILENT_REQUEST_FACTOR = 2.0;
 
     private final RequestEngine engine;
     private final CallerRequest request;
@@ -128,12 +128,13 @@
                         session,
                         server.entry().version(),
                         engine.loop().nowMillis()));
+        long unreadTokens = unreadTokens(server);
         facts.sharedPrompt().ifPresent(part -> server.rememberPrefix(part, facts.sharedTokens()));
         sends++;
         if (sends == 1) {
             engine.retryBudget(service).recordRequest();
         }
-        attempt = new Attempt(this, server, sends);
+        attempt = new Attempt(this, server, sends, unreadTokens);
         attempt.send(new DispatchFacts(
                 server.entry().id(),
                 timeLeftMillis(),
@@ -143,6 +144,11 @@
                 relay.lastId()));
     }
 
+    private long unreadTokens(BackendServerState server) {
+        boolean cached = facts.sharedPrompt().map(server::remembersPrefix).orElse(false);
+        return Math.max(0, facts.promptTokens() - (cached ? facts.sharedTokens() : 0));
+    }
+
     private OptionalInt urgency() {
         return route.repeatPolicy().isStream()
                 ? OptionalInt.of(holder.map(known -> known.priorityOn(route)).orElseGet(route::priority))
@@ -220,15 +226,20 @@
         }
     }
 
-    /** Returns the time without any news after which an attempt counts as silent, in milliseconds; empty if never. */
-    OptionalLong silenceMillis(boolean streaming) {
+    /**
+     * Returns the time without news after which an attempt goes on elsewhere, in milliseconds; empty if it never does.
+     *
+     * @param streaming true if events have arrived
+     * @param serverSilent true if nothing at all has arrived from the server since the last news of the attempt
+     */
+    OptionalLong silenceMillis(boolean streaming, boolean serverSilent) {
         if (!route.repeatPolicy().mayRepeat() || route.objectiveMillis() <= 0) {
             return OptionalLong.empty();
         }
-        double millis = streaming && route.longestPauseMillis() > 0
-                ? route.longestPauseMillis() * SILENT_PAUSE_FRACTION
-                : route.objectiveMillis() * SILENT_ANSWER_FACTOR;
-        return OptionalLong.of(Math.round(millis));
+        long usualMillis =
+                streaming && route.longestPauseMillis() > 0 ? route.longestPauseMillis() : route.objectiveMillis();
+        return OptionalLong.of(
+                Math.round(usualMillis * (serverSilent ? SILENT_SERVER_FRACTION : SILENT_REQUEST_FACTOR)));
     }
 
     /**
