--- a/router/src/main/java/io/heatherloft/router/request/RequestEngine.java
+++ b/router/src/main/java/io/heatherloft/router/request/RequestEngine.java
@@ -1,6 +1,7 @@
 package io.heatherloft.router.request;
 
 import com.codahale.metrics.MetricRegistry;
+import io.heatherloft.domain.cascade.EscalationThreshold;
 import io.heatherloft.domain.route.KeyHolder;
 import io.heatherloft.domain.route.Route;
 import io.heatherloft.domain.route.RoutingConfiguration;
@@ -44,6 +45,7 @@
     private final HostReports reports;
     private final EngineSettings settings;
     private final Map<String, RetryBudget> retryBudgets = new HashMap<>();
+    private final Map<String, EscalationThreshold> escalationThresholds = new HashMap<>();
     private int inProgress;
 
     /** Creates an engine. */
@@ -134,6 +136,10 @@
         return budget;
     }
 
+    EscalationThreshold escalationThreshold(String service) {
+        return escalationThresholds.computeIfAbsent(service, _name -> new EscalationThreshold());
+    }
+
     Loop loop() {
         return loop;
     }
