--- a/router/src/main/java/io/heatherloft/router/request/Attempt.java
+++ b/router/src/main/java/io/heatherloft/router/request/Attempt.java
@@ -187,7 +187,6 @@
             onNews();
             if (firstEventMillis < 0 && execution.relay().passedOn() > 0) {
                 firstEventMillis = execution.engine().loop().nowMillis() - sentAtMillis;
-                execution.onFirstEvent(firstEventMillis);
             }
             if (execution.relay().isDisordered()) {
                 breakOff("an event is missing");
--- a/router/src/main/java/io/heatherloft/router/request/RequestEngine.java
+++ b/router/src/main/java/io/heatherloft/router/request/RequestEngine.java
@@ -1,7 +1,6 @@
 package io.heatherloft.router.request;
 
 import com.codahale.metrics.MetricRegistry;
-import io.heatherloft.domain.cascade.EscalationThreshold;
 import io.heatherloft.domain.route.KeyHolder;
 import io.heatherloft.domain.route.Route;
 import io.heatherloft.domain.route.RoutingConfiguration;
@@ -45,7 +44,6 @@
     private final HostReports reports;
     private final EngineSettings settings;
     private final Map<String, RetryBudget> retryBudgets = new HashMap<>();
-    private final Map<String, EscalationThreshold> escalationThresholds = new HashMap<>();
     private int inProgress;
 
     /** Creates an engine. */
@@ -136,10 +134,6 @@
         return budget;
     }
 
-    EscalationThreshold escalationThreshold(String service) {
-        return escalationThresholds.computeIfAbsent(service, _name -> new EscalationThreshold());
-    }
-
     Loop loop() {
         return loop;
     }
--- a/router/src/main/java/io/heatherloft/router/request/RequestExecution.java
+++ b/router/src/main/java/io/heatherloft/router/request/RequestExecution.java
@@ -29,6 +29,8 @@
     private static final int MAX_CONNECT_FAILURES = 3;
     // Time after which a caller without a deadline has gone.
     private static final long DEFAULT_DEADLINE_MILLIS = 30_000L;
+    // Confidence, from 0 to 100, at which an answer is as likely right as wrong.
+    private static final int SUFFICIENT_CONFIDENCE = 50;
     // Repeated sends that are kept back for failures when a larger model would take one.
     private static final double ESCALATION_RESERVE = 2;
     // Time without news from a server on any connection, as a fraction of the objective or of the longest pause, after
@@ -171,14 +173,12 @@
             return true;
         }
         int stated = confidence.orElse(0);
-        double threshold = engine.escalationThreshold(service).at(engine.loop().nowMillis());
-        boolean sufficient = stated >= threshold;
+        boolean sufficient = stated >= SUFFICIENT_CONFIDENCE;
         engine.log().request("confidence", facts.attemptId().orElse(""), line -> line.with("route", route.name())
                 .with("model", route.modelSizes().get(modelIndex))
                 .with("prompt_tokens", facts.promptTokens())
                 .with("expected_output_tokens", facts.expectedOutputTokens())
                 .with("confidence", stated)
-                .with("threshold", Math.round(threshold))
                 .with("outcome", sufficient ? "kept" : "larger"));
         if (sufficient || !mayRetry("confidence " + stated, ESCALATION_RESERVE)) {
             return true;
@@ -283,12 +283,6 @@
         }
     }
 
-    /** The first event of a stream has arrived. */
-    void onFirstEvent(long waitedMillis) {
-        engine.escalationThreshold(service)
-                .record(waitedMillis, route.objectiveMillis(), engine.loop().nowMillis());
-    }
-
     /** The header of a stream has arrived. */
     void onStreamHead(Attempt running, int status, HttpHeaders headers) {
         if (isCurrent(running) && !streamStarted) {
