A roll-out's state counts though it is learned before its order

Ruled out: a lost write (the store acknowledged both). Change: the policy keeps the newest state and applies it to the order.

--- a/router/src/main/java/io/heatherloft/router/fleet/FleetKnowledge.java
+++ b/router/src/main/java/io/heatherloft/router/fleet/FleetKnowledge.java
@@ -10,10 +10,8 @@
 import io.heatherloft.ports.store.KeyValueStore;
 import io.heatherloft.ports.store.StoreValue;
 import io.heatherloft.router.log.DecisionLog;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 
@@ -35,7 +33,6 @@
     private final Counter unreadable;
     private final List<FollowedPrefix> prefixes;
     private final FollowedPrefix backends;
-    private final Map<String, StoreValue> earlyStates = new HashMap<>();
     private Optional<RoutingConfiguration> configuration = Optional.empty();
     private long configurationRevision;
     private boolean backendsListed;
@@ -191,14 +188,9 @@
         log.belief("rollout_order", line -> line.with("service", service)
                 .with("revision", value.revision())
                 .with("outcome", "known"));
-        StoreValue early = earlyStates.get(service);
-        if (early != null) {
-            onRolloutState(service, early);
-        }
     }
 
     private void onRolloutState(String service, StoreValue value) throws UnreadableValueException {
-        earlyStates.put(service, value);
         versions.onState(formats.readRolloutState(service, value.value()), value.revision());
         log.belief("rollout_state", line -> line.with("service", service)
                 .with("revision", value.revision())
@@ -208,8 +200,6 @@
     private void onDelete(String key, long revision) {
         if (key.startsWith(formats.rolloutOrderPrefix())) {
             versions.of(key.substring(formats.rolloutOrderPrefix().length())).onOrderRemoved(revision);
-        } else if (key.startsWith(formats.rolloutStatePrefix())) {
-            earlyStates.remove(key.substring(formats.rolloutStatePrefix().length()));
         } else if (key.startsWith(formats.backendPrefix())) {
             onBackendRemoved(key.substring(formats.backendPrefix().length()), revision);
         }
--- a/router/src/main/java/io/heatherloft/router/fleet/VersionPolicy.java
+++ b/router/src/main/java/io/heatherloft/router/fleet/VersionPolicy.java
@@ -29,6 +29,7 @@
     private final Set<String> badVersions = new HashSet<>();
     private Optional<String> currentVersion = Optional.empty();
     private Optional<Rollout> rollout = Optional.empty();
+    private Optional<RolloutState> newestState = Optional.empty();
     private OptionalLong stateKeyRevision = OptionalLong.empty();
 
     VersionPolicy(String service, SessionVersions sessions) {
@@ -46,6 +47,8 @@
         if (rollout.map(known -> revision > known.orderRevision).orElse(true)) {
             badVersions.remove(order.target());
             rollout = Optional.of(new Rollout(order, revision, nowMillis));
+            // The state may have been learned first.
+            newestState.ifPresent(this::apply);
         }
     }
 
@@ -60,8 +63,13 @@
             return;
         }
         stateKeyRevision = OptionalLong.of(revision);
-        rollout.filter(known ->
-                        revision > known.orderRevision && known.order.target().equals(state.target()))
+        newestState = Optional.of(state);
+        apply(state);
+    }
+
+    private void apply(RolloutState state) {
+        rollout.filter(known -> stateKeyRevision.orElse(0) > known.orderRevision
+                        && known.order.target().equals(state.target()))
                 .ifPresent(known -> {
                     known.statePhase = Optional.of(state.phase());
                     if (state.phase().isFinal()) {
--- /dev/null
+++ b/router/src/test/java/io/heatherloft/router/fleet/VersionPolicyTest.java
@@ -0,0 +1,76 @@
+package io.heatherloft.router.fleet;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.heatherloft.domain.rollout.RolloutOrder;
+import io.heatherloft.domain.rollout.RolloutState;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+final class VersionPolicyTest {
+    private static final Set<String> BOTH = Set.of("v1", "v2");
+    private static final RolloutOrder ORDER = new RolloutOrder("llm", "v2", 10_000);
+
+    private final SessionVersions sessions = new SessionVersions(5_000);
+    private final VersionPolicy policy = new VersionPolicy("llm", sessions);
+
+    private List<String> preferences(String session, long nowMillis) {
+        return policy.preferences(Optional.of(session), "r", BOTH, nowMillis);
+    }
+
+    @Nested
+    final class AfterARestart {
+        // Incident inc-86f0: a state that was listed before its order was ignored, and a reverted roll-out ran again.
+        @Test
+        void a_state_that_is_known_before_its_order_counts() {
+            policy.onState(new RolloutState("llm", "v2", RolloutState.Phase.REVERTED), 25);
+            policy.onOrder(ORDER, 14, 0);
+            assertThat(policy.rollout().orElseThrow().statePhase()).isEqualTo(Optional.of(RolloutState.Phase.REVERTED));
+            assertThat(preferences("s", 9_900)).containsExactly("v1");
+        }
+
+        @Test
+        void a_state_of_an_earlier_order_does_not_count() {
+            policy.onState(new RolloutState("llm", "v2", RolloutState.Phase.REVERTED), 25);
+            policy.onOrder(ORDER, 30, 0);
+            assertThat(policy.rollout().orElseThrow().statePhase()).isEqualTo(Optional.empty());
+            assertThat(preferences("s", 9_900)).containsExactly("v2", "v1").inOrder();
+        }
+    }
+
+    @Nested
+    final class ASession {
+        @Test
+        void stays_on_the_old_version_in_the_first_half_and_on_the_new_one_once_it_ran_there() {
+            policy.onOrder(ORDER, 14, 0);
+            for (int session = 0; session < 200; session++) {
+                sessions.record("llm", "old" + session, "v1", 3_000);
+                sessions.record("llm", "new" + session, "v2", 3_000);
+                assertThat(preferences("old" + session, 4_000)).containsExactly("v1");
+                assertThat(preferences("new" + session, 4_000).get(0)).isEqualTo("v2");
+            }
+        }
+
+        @Test
+        void leaves_a_version_that_was_judged_bad() {
+            policy.onOrder(ORDER, 14, 0);
+            sessions.record("llm", "s", "v2", 3_000);
+            policy.decide(RolloutState.Phase.REVERTED);
+            assertThat(preferences("s", 4_000)).containsExactly("v1");
+        }
+    }
+
+    @Nested
+    final class AVersionWithoutAnOrder {
+        @Test
+        void gets_requests_only_after_the_order_would_have_been_known() {
+            policy.onVersionSeen("v1", 0);
+            policy.onVersionSeen("v2", 10_000);
+            assertThat(preferences("s", 10_500)).containsExactly("v1");
+            assertThat(preferences("s", 12_500)).containsExactly("v1", "v2");
+        }
+    }
+}
