A roll-out's progress outlives the hosts

Cause: hosts that were all killed in mid-roll-out began its plan anew: sessions would have moved back to the old version. Change: from the start of the rise on, the plan goes no further than two seconds beyond what a host has recorded in the store; a restarted host goes on from the record. Ruled out: the time of day (it steps), the state that operators read (its form is theirs).

--- a/domain/src/main/java/io/heatherloft/domain/rollout/RolloutPlan.java
+++ b/domain/src/main/java/io/heatherloft/domain/rollout/RolloutPlan.java
@@ -14,6 +14,8 @@
     private static final double RISE_END = 0.66;
     private static final double COMPLETION = 0.86;
     private static final double TRIAL_SHARE = 0.08;
+    // Time by which the plan may be ahead of what was recorded of it; two records a second apart.
+    private static final long UNRECORDED_MILLIS = 2_000L;
 
     private RolloutPlan() {}
 
@@ -30,6 +32,24 @@
         return Math.min(1, TRIAL_SHARE + rise * (1 - TRIAL_SHARE));
     }
 
+    /**
+     * Returns how far the plan may have come, given what was recorded.
+     *
+     * <p>Sessions do not begin to move, and the share does not rise much further, before the store has recorded it:
+     * hosts that restart would otherwise move sessions back.
+     */
+    public static long recordedElapsed(long elapsedMillis, long recordedMillis, long durationMillis) {
+        long startOfRise = (long) (RISE_START * durationMillis) - 1;
+        return Math.min(elapsedMillis, Math.max(startOfRise, recordedMillis + UNRECORDED_MILLIS));
+    }
+
+    /** Returns true if the progress is to be recorded before the plan goes on. */
+    public static boolean needsRecord(long elapsedMillis, long recordedMillis, long durationMillis) {
+        return elapsedMillis >= RISE_START * durationMillis
+                && elapsedMillis - recordedMillis >= UNRECORDED_MILLIS / 2
+                && recordedMillis < COMPLETION * durationMillis;
+    }
+
     /** Returns true if a session that the old version ran lately may move to the new one. */
     public static boolean maySessionsMove(long elapsedMillis, long durationMillis) {
         return elapsedMillis >= RISE_START * durationMillis;
--- a/router/src/main/java/io/heatherloft/router/fleet/FleetKnowledge.java
+++ b/router/src/main/java/io/heatherloft/router/fleet/FleetKnowledge.java
@@ -3,6 +3,7 @@
 import com.codahale.metrics.Counter;
 import com.codahale.metrics.MetricRegistry;
 import io.heatherloft.domain.Bytes;
+import io.heatherloft.domain.rollout.RolloutProgress;
 import io.heatherloft.domain.route.BackendEntry;
 import io.heatherloft.domain.route.CallerLimits;
 import io.heatherloft.domain.route.RoutingConfiguration;
@@ -55,7 +56,8 @@
         FollowedPrefix operators = new FollowedPrefix(store, formats.operatorPrefix());
         this.backends = new FollowedPrefix(store, formats.backendPrefix());
         FollowedPrefix states = new FollowedPrefix(store, formats.rolloutStatePrefix());
-        this.prefixes = List.of(operators, backends, states);
+        FollowedPrefix progress = new FollowedPrefix(store, formats.rolloutProgressPrefix());
+        this.prefixes = List.of(operators, backends, states, progress);
     }
 
     /** Starts to follow the store. */
@@ -156,6 +158,8 @@
                 onRolloutOrder(key.substring(formats.rolloutOrderPrefix().length()), value);
             } else if (key.startsWith(formats.rolloutStatePrefix())) {
                 onRolloutState(key.substring(formats.rolloutStatePrefix().length()), value);
+            } else if (key.startsWith(formats.rolloutProgressPrefix())) {
+                onRolloutProgress(key.substring(formats.rolloutProgressPrefix().length()), value);
             } else if (key.startsWith(formats.backendPrefix())) {
                 BackendEntry entry = formats.readBackend(
                         key.substring(formats.backendPrefix().length()), value.value());
@@ -197,6 +201,12 @@
                 .with("outcome", "known"));
     }
 
+    private void onRolloutProgress(String service, StoreValue value) throws UnreadableValueException {
+        RolloutProgress progress = RolloutProgress.parse(value.value().toText())
+                .orElseThrow(() -> new UnreadableValueException("expected the progress of a roll-out"));
+        versions.onProgress(service, progress, value.revision());
+    }
+
     private void onDelete(String key, long revision) {
         if (key.startsWith(formats.rolloutOrderPrefix())) {
             versions.of(key.substring(formats.rolloutOrderPrefix().length())).onOrderRemoved(revision);
--- a/router/src/main/java/io/heatherloft/router/fleet/RolloutDriver.java
+++ b/router/src/main/java/io/heatherloft/router/fleet/RolloutDriver.java
@@ -1,6 +1,8 @@
 package io.heatherloft.router.fleet;
 
+import io.heatherloft.domain.Bytes;
 import io.heatherloft.domain.rollout.RolloutPlan;
+import io.heatherloft.domain.rollout.RolloutProgress;
 import io.heatherloft.domain.rollout.RolloutState;
 import io.heatherloft.ports.loop.Futures;
 import io.heatherloft.ports.loop.Loop;
@@ -29,6 +31,7 @@
     private final VersionPolicies versions;
     private final DecisionLog log;
     private final Set<String> writing = new HashSet<>();
+    private final Set<String> recording = new HashSet<>();
     private final Map<String, Long> pauseUntilMillis = new HashMap<>();
     private Loop.Cancellation ticking = () -> {};
 
@@ -57,7 +60,8 @@
     }
 
     private void drive(VersionPolicy policy, VersionPolicy.Rollout rollout) {
-        long elapsed = rollout.elapsedMillis(loop.nowMillis());
+        recordProgress(policy, rollout);
+        long elapsed = rollout.plannedMillis(loop.nowMillis());
         long duration = rollout.order().durationMillis();
         if (rollout.decided().isEmpty() && rollout.target().isWorseThan(rollout.before())) {
             policy.decide(RolloutState.Phase.REVERTED);
@@ -75,6 +79,29 @@
         }
     }
 
+    private void recordProgress(VersionPolicy policy, VersionPolicy.Rollout rollout) {
+        String service = rollout.order().service();
+        long elapsed = rollout.elapsedMillis(loop.nowMillis());
+        boolean needed = rollout.decided().isEmpty()
+                && RolloutPlan.needsRecord(
+                        elapsed, rollout.recordedMillis(), rollout.order().durationMillis());
+        if (!needed || !recording.add(service)) {
+            return;
+        }
+        String key = formats.rolloutProgressPrefix() + service;
+        RolloutProgress progress = new RolloutProgress(rollout.orderRevision(), elapsed);
+        Futures.onComplete(
+                store.putIfRevision(
+                        key, Bytes.ofText(progress.toText()), policy.progressKeyRevision(), OptionalLong.empty()),
+                (outcome, _failure) -> {
+                    // A host that lost the race learns the other's record from its watch; the pause lets it arrive.
+                    loop.schedule(TICK_MILLIS, () -> recording.remove(service));
+                    if (outcome instanceof WriteOutcome.Applied applied) {
+                        versions.onProgress(service, progress, applied.revision());
+                    }
+                });
+    }
+
     private void logDecision(VersionPolicy.Rollout rollout, String outcome) {
         log.belief(
                 "rollout_verdict", line -> line.with("service", rollout.order().service())
--- a/router/src/main/java/io/heatherloft/router/fleet/StoredFormats.java
+++ b/router/src/main/java/io/heatherloft/router/fleet/StoredFormats.java
@@ -23,8 +23,8 @@
     /** Returns the prefix of the entries of backend servers; the server's identity follows. */
     String backendPrefix();
 
-    /** Returns the prefix under which hosts share what is their own. */
-    String hostPrefix();
+    /** Returns the prefix under which hosts record the progress of roll-outs; the service's name follows. */
+    String rolloutProgressPrefix();
 
     /** Reads a configuration. */
     RoutingConfiguration readConfiguration(Bytes value) throws UnreadableValueException;
--- a/router/src/main/java/io/heatherloft/router/fleet/VersionPolicies.java
+++ b/router/src/main/java/io/heatherloft/router/fleet/VersionPolicies.java
@@ -1,6 +1,7 @@
 package io.heatherloft.router.fleet;
 
 import io.heatherloft.domain.rollout.RolloutOrder;
+import io.heatherloft.domain.rollout.RolloutProgress;
 import io.heatherloft.domain.rollout.RolloutState;
 import io.heatherloft.domain.rollout.VersionOutcomes;
 import io.heatherloft.ports.loop.Loop;
@@ -84,6 +85,10 @@
         of(state.service()).onState(state, revision);
     }
 
+    void onProgress(String service, RolloutProgress progress, long revision) {
+        of(service).onProgress(progress, revision, loop.nowMillis());
+    }
+
     Collection<VersionPolicy> all() {
         return policies.values();
     }
--- a/router/src/main/java/io/heatherloft/router/fleet/VersionPolicy.java
+++ b/router/src/main/java/io/heatherloft/router/fleet/VersionPolicy.java
@@ -3,6 +3,7 @@
 import io.heatherloft.domain.StableHash;
 import io.heatherloft.domain.rollout.RolloutOrder;
 import io.heatherloft.domain.rollout.RolloutPlan;
+import io.heatherloft.domain.rollout.RolloutProgress;
 import io.heatherloft.domain.rollout.RolloutState;
 import io.heatherloft.domain.rollout.VersionOutcomes;
 import java.util.HashMap;
@@ -29,6 +30,8 @@
     private final Set<String> badVersions = new HashSet<>();
     private Optional<String> currentVersion = Optional.empty();
     private Optional<Rollout> rollout = Optional.empty();
+    private Optional<RolloutProgress> newestProgress = Optional.empty();
+    private long progressKeyRevision;
     private Optional<RolloutState> newestState = Optional.empty();
     private OptionalLong stateKeyRevision = OptionalLong.empty();
 
@@ -49,6 +52,7 @@
             rollout = Optional.of(new Rollout(order, revision, nowMillis));
             // The state may have been learned first.
             newestState.ifPresent(this::apply);
+            applyProgress(nowMillis);
         }
     }
 
@@ -92,6 +96,25 @@
         rollout.ifPresent(known -> finish(known, phase));
     }
 
+    /** Takes a recorded progress at a revision of the store. */
+    void onProgress(RolloutProgress progress, long revision, long nowMillis) {
+        progressKeyRevision = Math.max(progressKeyRevision, revision);
+        newestProgress = newestProgress
+                .filter(known -> known.orderRevision() > progress.orderRevision())
+                .or(() -> Optional.of(progress));
+        applyProgress(nowMillis);
+    }
+
+    private void applyProgress(long nowMillis) {
+        newestProgress.ifPresent(progress -> rollout.filter(known -> known.orderRevision == progress.orderRevision())
+                .ifPresent(known -> known.onRecorded(progress.elapsedMillis(), nowMillis)));
+    }
+
+    /** Returns the revision of the newest recorded progress, of whichever order; 0 if there is none. */
+    long progressKeyRevision() {
+        return progressKeyRevision;
+    }
+
     /** Returns the revision of the newest state known, of whichever order. */
     OptionalLong stateKeyRevision() {
         return stateKeyRevision;
@@ -127,7 +150,7 @@
     }
 
     private boolean runsOnTarget(Rollout known, Optional<String> session, String requestId, long nowMillis) {
-        long elapsed = known.elapsedMillis(nowMillis);
+        long elapsed = known.plannedMillis(nowMillis);
         long duration = known.order.durationMillis();
         Optional<String> last = session.flatMap(name -> sessions.find(service, name, nowMillis));
         if (last.isPresent()) {
@@ -168,6 +191,7 @@
         private final RolloutOrder order;
         private final long orderRevision;
         private long startMillis;
+        private long recordedMillis;
         private Optional<RolloutState.Phase> statePhase = Optional.empty();
         private Optional<RolloutState.Phase> decided = Optional.empty();
         private VersionOutcomes target = VersionOutcomes.NONE;
@@ -224,6 +248,22 @@
             return nowMillis - startMillis;
         }
 
+        /** Returns how far the plan has come: no further than its records allow. */
+        long plannedMillis(long nowMillis) {
+            return RolloutPlan.recordedElapsed(elapsedMillis(nowMillis), recordedMillis, order.durationMillis());
+        }
+
+        /** Returns the progress that the store has recorded. */
+        long recordedMillis() {
+            return recordedMillis;
+        }
+
+        /** The store has recorded a progress. */
+        void onRecorded(long progressMillis, long nowMillis) {
+            recordedMillis = Math.max(recordedMillis, progressMillis);
+            raiseElapsed(progressMillis, nowMillis);
+        }
+
         /** Another host has seen the order for longer. */
         void raiseElapsed(long elapsedMillis, long nowMillis) {
             startMillis = Math.min(startMillis, nowMillis - elapsedMillis);
--- a/router/src/test/java/io/heatherloft/router/fleet/VersionPolicyTest.java
+++ b/router/src/test/java/io/heatherloft/router/fleet/VersionPolicyTest.java
@@ -3,6 +3,7 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import io.heatherloft.domain.rollout.RolloutOrder;
+import io.heatherloft.domain.rollout.RolloutProgress;
 import io.heatherloft.domain.rollout.RolloutState;
 import java.util.List;
 import java.util.Optional;
@@ -37,8 +38,26 @@
             policy.onState(new RolloutState("llm", "v2", RolloutState.Phase.REVERTED), 25);
             policy.onOrder(ORDER, 30, 0);
             assertThat(policy.rollout().orElseThrow().statePhase()).isEqualTo(Optional.empty());
+            policy.onProgress(new RolloutProgress(30, 9_800), 31, 9_800);
             assertThat(preferences("s", 9_900)).containsExactly("v2", "v1").inOrder();
         }
+
+        @Test
+        void a_roll_out_goes_on_where_it_was_recorded() {
+            policy.onProgress(new RolloutProgress(14, 8_000), 31, 0);
+            policy.onOrder(ORDER, 14, 0);
+            assertThat(preferences("s", 100)).containsExactly("v2", "v1").inOrder();
+        }
+    }
+
+    @Nested
+    final class Unrecorded {
+        @Test
+        void progress_moves_no_session() {
+            policy.onOrder(ORDER, 14, 0);
+            sessions.record("llm", "s", "v1", 9_000);
+            assertThat(preferences("s", 9_900)).containsExactly("v1");
+        }
     }
 
     @Nested
