--- a/domain/src/main/java/io/heatherloft/domain/rollout/VersionOutcomes.java
+++ b/domain/src/main/java/io/heatherloft/domain/rollout/VersionOutcomes.java
@@ -1,16 +1,16 @@
 package io.heatherloft.domain.rollout;
 
 /**
- * Answers of a version, counted.
+ * Answers of a version, counted and timed.
  *
  * <p>Immutable and safe for use by several threads.
  *
  * @param answers answers of the version
- * @param bad answers that failed or were several times slower than those of the version before
+ * @param bad answers that failed
  */
-public record VersionOutcomes(long answers, long bad) {
+public record VersionOutcomes(long answers, long bad, SpeedSums speeds) {
     /** No answers. */
-    public static final VersionOutcomes NONE = new VersionOutcomes(0, 0);
+    public static final VersionOutcomes NONE = new VersionOutcomes(0, 0, SpeedSums.NONE);
 
     // Fewest bad answers on which a version is judged; one that is sound has a few by chance.
     private static final long FEWEST_BAD = 5;
@@ -21,16 +21,25 @@
 
     /** Returns the sum. */
     public VersionOutcomes plus(VersionOutcomes other) {
-        return new VersionOutcomes(answers + other.answers, bad + other.bad);
+        return new VersionOutcomes(answers + other.answers, bad + other.bad, speeds.plus(other.speeds));
     }
 
     /** Returns the counts with one more answer. */
     public VersionOutcomes plusAnswer(boolean isBad) {
-        return new VersionOutcomes(answers + 1, bad + (isBad ? 1 : 0));
+        return new VersionOutcomes(answers + 1, bad + (isBad ? 1 : 0), speeds);
+    }
+
+    /** Returns the counts with the time of an answer, as a multiple of the usual one. */
+    public VersionOutcomes plusSpeed(double timeOverUsual) {
+        return new VersionOutcomes(answers, bad, speeds.plusAnswer(timeOverUsual));
     }
 
     /** Returns true if the answers are worse than those of the version before by more than chance explains. */
     public boolean isWorseThan(VersionOutcomes before) {
+        return failsMoreThan(before) || speeds.isSlowerThan(before.speeds);
+    }
+
+    private boolean failsMoreThan(VersionOutcomes before) {
         double usualRate = before.answers == 0 ? 0 : (double) before.bad / before.answers;
         double expected = answers * Math.min(1, usualRate + TOLERATED_EXCESS);
         return bad >= FEWEST_BAD && bad > expected + DEVIATIONS * Math.sqrt(expected);
--- a/domain/src/test/java/io/heatherloft/domain/rollout/RolloutDecisionsTest.java
+++ b/domain/src/test/java/io/heatherloft/domain/rollout/RolloutDecisionsTest.java
@@ -79,4 +79,60 @@
             assertThat(wrong).isAtMost(5);
         }
     }
+
+    @Nested
+    final class Speed {
+        private SpeedSums draw(Random random, int answers, double slowShare) {
+            SpeedSums sums = SpeedSums.NONE;
+            for (int answer = 0; answer < answers; answer++) {
+                double usual = Math.exp(random.nextGaussian() * 0.5);
+                sums = sums.plusAnswer(random.nextDouble() < slowShare ? 8 * usual : usual);
+            }
+            return sums;
+        }
+
+        @Test
+        void of_a_version_that_slows_half_of_its_answers_eightfold_is_noticed_within_forty() {
+            int noticed = 0;
+            for (int seed = 0; seed < 500; seed++) {
+                Random random = new Random(seed);
+                SpeedSums before = draw(random, 200, 0);
+                noticed += draw(random, 40, 0.5).isSlowerThan(before) ? 1 : 0;
+            }
+            assertThat(noticed).isAtLeast(490);
+        }
+
+        @Test
+        void of_a_sound_version_is_not_called_slow_when_asked_after_each_answer() {
+            int wrong = 0;
+            for (int seed = 0; seed < 300; seed++) {
+                Random random = new Random(seed);
+                SpeedSums before = draw(random, 300, 0);
+                SpeedSums target = SpeedSums.NONE;
+                boolean slow = false;
+                for (int answer = 0; answer < 200; answer++) {
+                    target = target.plus(draw(random, 1, 0));
+                    slow |= target.isSlowerThan(before);
+                }
+                wrong += slow ? 1 : 0;
+            }
+            assertThat(wrong).isEqualTo(0);
+        }
+
+        // A good roll-out whose hosts were all killed: 13 of 137 answers slow, none of the version before by then.
+        @Test
+        void of_a_sound_version_is_not_called_slow_by_one_answer_in_ten() {
+            Random random = new Random(4);
+            assertThat(draw(random, 137, 0.1).isSlowerThan(draw(random, 600, 0)))
+                    .isFalse();
+        }
+
+        @Test
+        void of_a_kind_that_was_hardly_seen_is_not_judged() {
+            SpeedBaseline baseline = new SpeedBaseline();
+            baseline.record("plans/large", 10);
+            assertThat(baseline.timeOverUsual("plans/large", 10_000).isPresent())
+                    .isFalse();
+        }
+    }
 }
--- a/router/src/main/java/io/heatherloft/router/fleet/VersionPolicies.java
+++ b/router/src/main/java/io/heatherloft/router/fleet/VersionPolicies.java
@@ -36,9 +36,29 @@
         return sessions;
     }
 
-    /** Records the outcome of a request on a version. */
-    public void recordOutcome(String service, String version, boolean bad) {
-        of(service).rollout().ifPresent(rollout -> rollout.record(version, bad));
+    /** Records a request that failed on a version. */
+    public void recordFailure(String service, String version) {
+        of(service).rollout().ifPresent(rollout -> rollout.record(version, true));
+    }
+
+    /**
+     * Records a whole answer of a version.
+     *
+     * @param kind answers of one kind take about the same time
+     * @param millis time of the answer, or of one of its parts where answers of the kind differ in length
+     */
+    public void recordAnswer(String service, String version, String kind, double millis) {
+        VersionPolicy policy = of(service);
+        policy.rollout().ifPresent(rollout -> {
+            rollout.record(version, false);
+            policy.speeds().timeOverUsual(kind, millis).ifPresent(ratio -> rollout.recordSpeed(version, ratio));
+        });
+        boolean onTrial = policy.rollout()
+                .filter(rollout -> rollout.order().target().equals(version))
+                .isPresent();
+        if (!onTrial) {
+            policy.speeds().record(kind, millis);
+        }
     }
 
     /**
--- a/router/src/main/java/io/heatherloft/router/fleet/VersionPolicy.java
+++ b/router/src/main/java/io/heatherloft/router/fleet/VersionPolicy.java
@@ -5,6 +5,7 @@
 import io.heatherloft.domain.rollout.RolloutPlan;
 import io.heatherloft.domain.rollout.RolloutProgress;
 import io.heatherloft.domain.rollout.RolloutState;
+import io.heatherloft.domain.rollout.SpeedBaseline;
 import io.heatherloft.domain.rollout.VersionOutcomes;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -29,6 +30,7 @@
     private final Map<String, Long> firstSeenMillis = new HashMap<>();
     private final Set<String> badVersions = new HashSet<>();
     private Optional<String> currentVersion = Optional.empty();
+    private final SpeedBaseline speeds = new SpeedBaseline();
     private Optional<Rollout> rollout = Optional.empty();
     private Optional<RolloutProgress> newestProgress = Optional.empty();
     private long progressKeyRevision;
@@ -120,6 +122,10 @@
         return stateKeyRevision;
     }
 
+    SpeedBaseline speeds() {
+        return speeds;
+    }
+
     Optional<Rollout> rollout() {
         return rollout;
     }
@@ -269,6 +275,14 @@
             startMillis = Math.min(startMillis, nowMillis - elapsedMillis);
         }
 
+        void recordSpeed(String version, double timeOverUsual) {
+            if (version.equals(order.target())) {
+                target = target.plusSpeed(timeOverUsual);
+            } else {
+                before = before.plusSpeed(timeOverUsual);
+            }
+        }
+
         void record(String version, boolean bad) {
             if (version.equals(order.target())) {
                 target = target.plusAnswer(bad);
--- a/router/src/main/java/io/heatherloft/router/peers/KnowledgeSpreader.java
+++ b/router/src/main/java/io/heatherloft/router/peers/KnowledgeSpreader.java
@@ -2,6 +2,7 @@
 
 import com.google.protobuf.ByteString;
 import io.heatherloft.domain.Bytes;
+import io.heatherloft.domain.rollout.SpeedSums;
 import io.heatherloft.domain.rollout.VersionOutcomes;
 import io.heatherloft.peer.PeerNetwork;
 import io.heatherloft.peer.generated.BackendLoad;
@@ -192,7 +193,9 @@
                         .setTargetAnswers(progress.target().answers())
                         .setTargetBad(progress.target().bad())
                         .setBeforeAnswers(progress.before().answers())
-                        .setBeforeBad(progress.before().bad())));
+                        .setBeforeBad(progress.before().bad())
+                        .setTargetSpeed(encode(progress.target().speeds()))
+                        .setBeforeSpeed(encode(progress.before().speeds()))));
         return report.build();
     }
 
@@ -227,7 +230,25 @@
                                 counts.getService(),
                                 counts.getOrderRevision(),
                                 counts.getElapsedMillis() + report.getAgeMillis(),
-                                new VersionOutcomes(counts.getTargetAnswers(), counts.getTargetBad()),
-                                new VersionOutcomes(counts.getBeforeAnswers(), counts.getBeforeBad())))));
+                                new VersionOutcomes(
+                                        counts.getTargetAnswers(),
+                                        counts.getTargetBad(),
+                                        decode(counts.getTargetSpeed())),
+                                new VersionOutcomes(
+                                        counts.getBeforeAnswers(),
+                                        counts.getBeforeBad(),
+                                        decode(counts.getBeforeSpeed()))))));
+    }
+
+    private static io.heatherloft.peer.generated.SpeedSums encode(SpeedSums sums) {
+        return io.heatherloft.peer.generated.SpeedSums.newBuilder()
+                .setAnswers(sums.answers())
+                .setSum(sums.sum())
+                .setSumOfSquares(sums.sumOfSquares())
+                .build();
+    }
+
+    private static SpeedSums decode(io.heatherloft.peer.generated.SpeedSums sums) {
+        return new SpeedSums(sums.getAnswers(), sums.getSum(), sums.getSumOfSquares());
     }
 }
--- a/router/src/main/java/io/heatherloft/router/request/Attempt.java
+++ b/router/src/main/java/io/heatherloft/router/request/Attempt.java
@@ -39,7 +39,9 @@
     private long firstEventMillis = -1;
     private long lastNewsMillis;
     private Loop.Cancellation silenceTimer = () -> {};
+    private final long eventsBefore;
     private long unreadTokens;
+    private String kind = "";
     private boolean over;
 
     /**
@@ -53,6 +55,7 @@
         this.server = server;
         this.number = number;
         this.sentAtMillis = execution.engine().loop().nowMillis();
+        this.eventsBefore = execution.relay().passedOn();
     }
 
     BackendServerState server() {
@@ -76,6 +79,7 @@
                 Unpooled.wrappedBuffer(content),
                 outgoing,
                 EmptyHttpHeaders.INSTANCE);
+        kind = execution.route().name() + '/' + dispatch.model().orElse("");
         server.begin();
         server.addUnreadTokens(unreadTokens);
         execution
@@ -185,7 +189,7 @@
         } else if (mode == Mode.STREAM) {
             execution.relay().accept(part);
             onNews();
-            if (firstEventMillis < 0 && execution.relay().passedOn() > 0) {
+            if (firstEventMillis < 0 && execution.relay().passedOn() > eventsBefore) {
                 firstEventMillis = execution.engine().loop().nowMillis() - sentAtMillis;
             }
             if (execution.relay().isDisordered()) {
@@ -250,15 +254,20 @@
     }
 
     private void recordOutcome(boolean failed) {
+        String version = server.entry().version();
         if (failed) {
             server.health().recordFailure(execution.engine().loop().nowMillis());
+            execution.engine().versions().recordFailure(execution.service(), version);
         } else {
             server.health().recordSuccess();
+            execution.engine().versions().recordAnswer(execution.service(), version, kind, millisPerPart());
         }
-        execution
-                .engine()
-                .versions()
-                .recordOutcome(execution.service(), server.entry().version(), failed);
+    }
+
+    // Streams differ in length, so their speed is the time for an event; the wait for the first one counts as well.
+    private double millisPerPart() {
+        long elapsed = execution.engine().loop().nowMillis() - sentAtMillis;
+        return (double) elapsed / Math.max(1, execution.relay().passedOn() - eventsBefore);
     }
 
     private void end() {
