Answer writing, model choice and silence limits in classes of their own; gauges; unused parts gone

Cause: read as a newcomer, CallerConnection (405 lines) and RequestExecution (398) did several jobs; three refusal reasons, a port setting and three counters were used by nobody. Change: AnswerWriter, ModelChoice, SilenceLimits; gauges for connections, store, hosts and bytes between hosts; behaviour as before.

--- a/entry/src/main/java/io/heatherloft/entry/EntryHost.java
+++ b/entry/src/main/java/io/heatherloft/entry/EntryHost.java
@@ -111,9 +111,18 @@
                 engineSettings(settings),
                 log,
                 metrics);
+        metrics.gauge("backend_connections_opened", () -> backendPool::opened);
+        metrics.gauge("backend_connections_reused", () -> backendPool::reused);
+        metrics.gauge("store_reachable", () -> () -> knowledge.isStoreReachable() ? 1 : 0);
+        metrics.gauge("configuration_revision", () -> knowledge::configurationRevision);
+        metrics.gauge("hosts_known", () -> reports::hostCount);
+        metrics.gauge("requests_in_progress", () -> engine::inProgress);
+        metrics.gauge("peer_bytes_sent", () -> traffic::sentBytes);
         this.callers = new CallerServer(
                 group, loop, knowledge::limits, engine, status -> metrics.counter("requests_rejected_total." + status)
                         .inc());
+        metrics.gauge("caller_connections", () -> callers::connectionCount);
+        metrics.gauge("caller_connection_errors", () -> callers::connectionErrors);
         this.operations = new CallerServer(
                 group, loop, () -> CallerLimits.DEFAULT, new ReadyHandler(this::isReady), _status -> {});
         this.metricsServer =
--- a/entry/src/test/java/io/heatherloft/entry/PlatformRig.java
+++ b/entry/src/test/java/io/heatherloft/entry/PlatformRig.java
@@ -87,7 +87,6 @@
                 "127.0.0.1:0",
                 Optional.of("127.0.0.1:" + peerPort),
                 seedPorts.stream().map(port -> "127.0.0.1:" + port).toList(),
-                0,
                 "127.0.0.1:" + storePort,
                 8_000L,
                 5_000L,
--- a/router/src/main/java/io/heatherloft/router/backend/BackendPool.java
+++ b/router/src/main/java/io/heatherloft/router/backend/BackendPool.java
@@ -31,7 +31,6 @@
     private final PoolSettings settings;
     private final Bootstrap bootstrap;
     private final Map<BackendTarget, Deque<BackendConnection>> idle = new HashMap<>();
-    private final Map<String, Integer> openByServer = new HashMap<>();
     private long opened;
     private long reused;
 
@@ -66,11 +65,6 @@
                 .forEach(BackendConnection::close);
     }
 
-    /** Returns the number of open connections to a server. */
-    public int openConnections(String serverId) {
-        return openByServer.getOrDefault(serverId, 0);
-    }
-
     /** Returns the number of connections opened so far. */
     public long opened() {
         return opened;
@@ -95,7 +89,6 @@
 
     private BackendExchange connect(BackendTarget target, FullHttpRequest request, AnswerListener listener) {
         BackendConnection connection = new BackendConnection(this, loop, settings, target);
-        openByServer.merge(target.id(), 1, Integer::sum);
         int separator = target.address().lastIndexOf(':');
         InetSocketAddress address = new InetSocketAddress(
                 target.address().substring(0, separator),
@@ -130,7 +123,6 @@
 
     void onClosed(BackendConnection connection) {
         BackendTarget target = connection.target();
-        openByServer.computeIfPresent(target.id(), (_id, count) -> count > 1 ? count - 1 : null);
         idle.computeIfPresent(target, (_key, connections) -> {
             connections.remove(connection);
             return connections.isEmpty() ? null : connections;
--- a/router/src/main/java/io/heatherloft/router/fleet/PrefixMemory.java
+++ b/router/src/main/java/io/heatherloft/router/fleet/PrefixMemory.java
@@ -31,9 +31,4 @@
     boolean contains(String part) {
         return tokensByPart.containsKey(part);
     }
-
-    void clear() {
-        tokensByPart.clear();
-        tokens = 0;
-    }
 }
--- a/router/src/main/java/io/heatherloft/router/http/CallerConnection.java
+++ b/router/src/main/java/io/heatherloft/router/http/CallerConnection.java
@@ -12,16 +12,13 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
-import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
-import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpRequest;
-import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
@@ -50,7 +47,7 @@
     private final Deque<CallerRequest> waiting = new ArrayDeque<>();
     private HttpRequest head;
     private ByteBuf body = Unpooled.EMPTY_BUFFER;
-    private Exchange active;
+    private AnswerWriter active;
     private Loop.Cancellation timer = () -> {};
     private long firstByteAtMillis = -1;
     private long lastByteAtMillis;
@@ -166,12 +163,13 @@
 
     private void begin(CallerRequest request) {
         timer.cancel();
-        active = new Exchange(HttpUtil.isKeepAlive(new HeaderView(request)));
+        active = new AnswerWriter(this, channel, server, isKeepAlive(request));
         server.handler().onRequest(request, active);
     }
 
-    private void onExchangeEnded(Exchange exchange, boolean keepAlive) {
-        if (active != exchange) {
+    /** An answer was written in full. */
+    void onAnswerEnded(AnswerWriter exchange, boolean keepAlive) {
+        if (!exchange.equals(active)) {
             return;
         }
         active = null;
@@ -197,7 +195,7 @@
         server.onRejected(status.code());
         if (active != null) {
             // The answer in progress goes first; its end closes the connection.
-            active.keepAlive = false;
+            active.closeAfterwards();
             head = null;
             closing = true;
             return;
@@ -259,19 +257,30 @@
         return server.limits();
     }
 
+    /** An answer is not going to be completed. */
+    void breakOff() {
+        active = null;
+        closeNow();
+    }
+
+    // HTTP/1.1 keeps connections open unless a side says otherwise; no other version is accepted.
+    private static boolean isKeepAlive(CallerRequest request) {
+        return !request.headers().containsValue(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE, true);
+    }
+
     private void closeNow() {
         closing = true;
         ChannelFuture _closed = channel.close();
     }
 
-    private void write(Object message) {
+    void write(Object message) {
         channel.writeAndFlush(message).addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
     }
 
     @Override
     public void channelWritabilityChanged(ChannelHandlerContext _context) {
         if (active != null) {
-            active.listener.onWritabilityChanged();
+            active.onWritabilityChanged();
         }
     }
 
@@ -281,11 +290,10 @@
         closing = true;
         waiting.clear();
         server.onClosed(this);
-        Exchange left = active;
+        AnswerWriter left = active;
         active = null;
         if (left != null) {
-            left.ended = true;
-            left.listener.onCallerLeft();
+            left.onCallerLeft();
         }
     }
 
@@ -294,112 +302,4 @@
         server.onConnectionError(cause);
         closeNow();
     }
-
-    /** The exchange of the request that is being answered. */
-    private final class Exchange implements CallerExchange {
-        private static final Listener NOBODY = new Listener() {
-            @Override
-            public void onCallerLeft() {}
-
-            @Override
-            public void onWritabilityChanged() {}
-        };
-
-        private Listener listener = NOBODY;
-        private boolean keepAlive;
-        private boolean ended;
-
-        Exchange(boolean keepAlive) {
-            this.keepAlive = keepAlive;
-        }
-
-        @Override
-        public void sendWhole(int status, HttpHeaders headers, ByteBuf content) {
-            if (ended) {
-                content.release();
-                return;
-            }
-            headers.set(HttpHeaderNames.CONTENT_LENGTH, content.readableBytes());
-            write(new DefaultFullHttpResponse(
-                    HttpVersion.HTTP_1_1,
-                    HttpResponseStatus.valueOf(status),
-                    content,
-                    withConnection(headers),
-                    EmptyHttpHeaders.INSTANCE));
-            end();
-        }
-
-        @Override
-        public void startStream(int status, HttpHeaders headers) {
-            if (!ended) {
-                headers.set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
-                HttpResponse response = new DefaultHttpResponse(
-                        HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status), withConnection(headers));
-                write(response);
-            }
-        }
-
-        @Override
-        public void sendPart(ByteBuf part) {
-            if (ended) {
-                part.release();
-            } else {
-                write(new DefaultHttpContent(part));
-            }
-        }
-
-        @Override
-        public void endStream() {
-            if (!ended) {
-                write(LastHttpContent.EMPTY_LAST_CONTENT);
-                end();
-            }
-        }
-
-        @Override
-        public void breakOff() {
-            if (!ended) {
-                ended = true;
-                active = null;
-                closeNow();
-            }
-        }
-
-        @Override
-        public boolean hasEnded() {
-            return ended;
-        }
-
-        @Override
-        public boolean isWritable() {
-            return channel.isWritable();
-        }
-
-        @Override
-        public void listen(Listener newListener) {
-            this.listener = newListener;
-        }
-
-        private HttpHeaders withConnection(HttpHeaders headers) {
-            keepAlive &= !server.isDraining();
-            if (!keepAlive) {
-                headers.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-            }
-            return headers;
-        }
-
-        private void end() {
-            ended = true;
-            listener = NOBODY;
-            // The header of a stream may have left before the drain began.
-            onExchangeEnded(this, keepAlive && !server.isDraining());
-        }
-    }
-
-    /** Gives the connection headers of a request in the form in which the HTTP library reads them. */
-    private static final class HeaderView extends io.netty.handler.codec.http.DefaultHttpRequest {
-        HeaderView(CallerRequest request) {
-            super(HttpVersion.HTTP_1_1, request.method(), request.target(), request.headers());
-        }
-    }
 }
--- a/router/src/main/java/io/heatherloft/router/peers/HostReports.java
+++ b/router/src/main/java/io/heatherloft/router/peers/HostReports.java
@@ -8,7 +8,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 
 /**
  * The newest report of each other host.
@@ -84,11 +83,6 @@
                 .sum();
     }
 
-    /** Returns the age of a host's newest report, in milliseconds. */
-    Optional<Long> ageOf(String host) {
-        return Optional.ofNullable(byHost.get(host)).map(this::ageOf);
-    }
-
     private List<HostReport> youngerThan(long limitMillis) {
         return byHost.values().stream()
                 .filter(received -> ageOf(received) < limitMillis)
--- a/router/src/main/java/io/heatherloft/router/request/Attempt.java
+++ b/router/src/main/java/io/heatherloft/router/request/Attempt.java
@@ -104,18 +104,20 @@
             return;
         }
         boolean serverSilent = server.lastNewsMillis() <= lastNewsMillis;
-        execution.silenceMillis(firstEventMillis >= 0, serverSilent).ifPresent(limitMillis -> {
-            long leftMillis =
-                    lastNewsMillis + limitMillis - execution.engine().loop().nowMillis();
-            if (leftMillis > 0) {
-                // The server may fall silent, or be heard of, meanwhile.
-                leftMillis = Math.min(leftMillis, SILENCE_CHECK_MILLIS);
-                silenceTimer = execution.engine().loop().schedule(leftMillis, this::awaitNews);
-            } else if (execution.movesAfterSilence(this)) {
-                server.health().recordFailure(execution.engine().loop().nowMillis());
-                execution.engine().pool().closeIdle(server.entry().id());
-            }
-        });
+        SilenceLimits.limitMillis(execution.route(), firstEventMillis >= 0, serverSilent)
+                .ifPresent(limitMillis -> {
+                    long leftMillis = lastNewsMillis
+                            + limitMillis
+                            - execution.engine().loop().nowMillis();
+                    if (leftMillis > 0) {
+                        // The server may fall silent, or be heard of, meanwhile.
+                        leftMillis = Math.min(leftMillis, SILENCE_CHECK_MILLIS);
+                        silenceTimer = execution.engine().loop().schedule(leftMillis, this::awaitNews);
+                    } else if (execution.movesAfterSilence(this)) {
+                        server.health().recordFailure(execution.engine().loop().nowMillis());
+                        execution.engine().pool().closeIdle(server.entry().id());
+                    }
+                });
     }
 
     void cancel() {
--- a/router/src/main/java/io/heatherloft/router/request/RefusalReason.java
+++ b/router/src/main/java/io/heatherloft/router/request/RefusalReason.java
@@ -19,12 +19,6 @@
     NO_BACKEND(503, 0.5),
     /** Every backend server refused the request without running it, or could not be reached. */
     NOT_ACCEPTED(503, 0.3),
-    /** The service has no room within the time that the caller has. */
-    OVERLOADED(503, 0.6),
-    /** The host is stopping. */
-    STOPPING(503, 0.1),
-    /** The request has crashed backend servers before. */
-    QUARANTINED(503, 30.0),
     /** The time for the request ended before it was sent to a backend server. */
     EXPIRED_UNSENT(503, 0.2),
     /** The time for the request ended while a backend server had it. */
--- a/router/src/main/java/io/heatherloft/router/request/RequestExecution.java
+++ b/router/src/main/java/io/heatherloft/router/request/RequestExecution.java
@@ -12,7 +12,6 @@
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.OptionalInt;
-import java.util.OptionalLong;
 import java.util.Set;
 
 /**
@@ -29,15 +28,8 @@
     private static final int MAX_CONNECT_FAILURES = 3;
     // Time after which a caller without a deadline has gone.
     private static final long DEFAULT_DEADLINE_MILLIS = 30_000L;
-    // Confidence, from 0 to 100, at which an answer is as likely right as wrong.
-    private static final int SUFFICIENT_CONFIDENCE = 50;
     // Repeated sends that are kept back for failures when a larger model would take one.
     private static final double ESCALATION_RESERVE = 2;
-    // Time without news from a server on any connection, as a fraction of the objective or of the longest pause, after
-    // which its requests go on elsewhere: enough is left for an answer on time.
-    private static final double SILENT_SERVER_FRACTION = 0.6;
-    // Time without news of one request, as a multiple of the same, while its server answers others.
-    private static final double SILENT_REQUEST_FACTOR = 2.0;
 
     private final RequestEngine engine;
     private final CallerRequest request;
@@ -49,10 +41,10 @@
     private final long endMillis;
     private final Set<String> triedBackends = new HashSet<>();
     private final EventRelay relay;
+    private final ModelChoice models;
     private Loop.Cancellation endTimer = () -> {};
     private Attempt attempt;
     private int sends;
-    private int modelIndex;
     private int connectFailures;
     private boolean mayHaveRun;
     private boolean streamStarted;
@@ -77,6 +69,7 @@
                 + Math.min(
                         facts.deadlineMillis().orElse(DEFAULT_DEADLINE_MILLIS),
                         route.timeoutMillis().orElse(Long.MAX_VALUE / 2));
+        this.models = new ModelChoice(route.modelSizes());
         this.relay = new EventRelay(facts.lastEventId(), this::sendEvent);
     }
 
@@ -140,7 +133,7 @@
                 timeLeftMillis(),
                 holder.map(KeyHolder::workspace),
                 urgency(),
-                chosenModel(),
+                models.current(),
                 relay.lastId()));
     }
 
@@ -155,36 +148,27 @@
                 : OptionalInt.empty();
     }
 
-    private Optional<String> chosenModel() {
-        return route.modelSizes().isEmpty()
-                ? Optional.empty()
-                : Optional.of(route.modelSizes().get(modelIndex));
-    }
-
     /**
      * Decides on the answer that a model is about to give.
      *
      * @return false if the answer is dropped; a larger model then runs the request
      */
     boolean acceptsAnswer(Attempt running, OptionalInt confidence) {
-        if (!isCurrent(running)
-                || streamStarted
-                || modelIndex + 1 >= route.modelSizes().size()) {
+        if (!isCurrent(running) || streamStarted || !models.hasLarger()) {
             return true;
         }
-        int stated = confidence.orElse(0);
-        boolean sufficient = stated >= SUFFICIENT_CONFIDENCE;
+        boolean sufficient = models.isSufficient(confidence);
         engine.log().request("confidence", facts.attemptId().orElse(""), line -> line.with("route", route.name())
-                .with("model", route.modelSizes().get(modelIndex))
+                .with("model", models.current().orElse(""))
                 .with("prompt_tokens", facts.promptTokens())
                 .with("expected_output_tokens", facts.expectedOutputTokens())
-                .with("confidence", stated)
+                .with("confidence", confidence.orElse(0))
                 .with("outcome", sufficient ? "kept" : "larger"));
-        if (sufficient || !mayRetry("confidence " + stated, ESCALATION_RESERVE)) {
+        if (sufficient || !mayRetry("confidence " + confidence.orElse(0), ESCALATION_RESERVE)) {
             return true;
         }
         running.cancel();
-        modelIndex = route.modelSizes().size() - 1;
+        models.takeLargest();
         dispatch();
         return false;
     }
@@ -226,22 +210,6 @@
         }
     }
 
-    /**
-     * Returns the time without news after which an attempt goes on elsewhere, in milliseconds; empty if it never does.
-     *
-     * @param streaming true if events have arrived
-     * @param serverSilent true if nothing at all has arrived from the server since the last news of the attempt
-     */
-    OptionalLong silenceMillis(boolean streaming, boolean serverSilent) {
-        if (!route.repeatPolicy().mayRepeat() || route.objectiveMillis() <= 0) {
-            return OptionalLong.empty();
-        }
-        long usualMillis =
-                streaming && route.longestPauseMillis() > 0 ? route.longestPauseMillis() : route.objectiveMillis();
-        return OptionalLong.of(
-                Math.round(usualMillis * (serverSilent ? SILENT_SERVER_FRACTION : SILENT_REQUEST_FACTOR)));
-    }
-
     /**
      * The attempt's server has sent nothing for a while.
      *
