A request whose small answer was dropped is not called unrun

Cause: found by reading: after an escalation a refusal by the next server ended as 503, which says that the request has not run, although the smaller model had begun it. Change: an escalation counts as a run. Figures: the new host test failed first (503), passes now (502).

--- a/entry/src/test/java/io/heatherloft/entry/EntryHostTest.java
+++ b/entry/src/test/java/io/heatherloft/entry/EntryHostTest.java
@@ -90,6 +90,16 @@
                     .inOrder();
         }
 
+        @Test
+        void is_not_called_unrun_when_the_small_model_ran_and_the_large_one_was_refused() {
+            RunnerStandIn backend = rig.backend("llm", "i-1", "v1");
+            rig.onLoop(() -> {
+                backend.setConfidence(20);
+                backend.next(Act.ANSWER, Act.REFUSE, Act.REFUSE);
+            });
+            assertThat(rig.stream(loneHost(), "r1")).startsWith("HTTP/1.1 502");
+        }
+
         @Test
         void goes_on_at_another_server_after_its_last_whole_event() {
             RunnerStandIn first = rig.backend("llm", "i-1", "v1");
--- a/router/src/main/java/io/heatherloft/router/request/RequestExecution.java
+++ b/router/src/main/java/io/heatherloft/router/request/RequestExecution.java
@@ -168,6 +168,7 @@
             return true;
         }
         running.cancel();
+        mayHaveRun = true;
         models.takeLargest();
         dispatch();
         return false;
