The daemon refuses messages of hosts on the users' platform

Change: the case answers that nothing was accepted. Figures: mvn -DskipTests install of all modules fails before (PeerHandler, switch not exhaustive) and succeeds after.

--- a/daemon/src/main/java/io/heatherloft/daemon/PeerHandler.java
+++ b/daemon/src/main/java/io/heatherloft/daemon/PeerHandler.java
@@ -66,6 +66,8 @@
                 rolloutWatch.accept(request.getRating());
                 yield CompletableFuture.completedFuture(Gossiper.acknowledge(true));
             }
+                // Only hosts on the users' platform exchange these; a daemon of the own interface has none to give.
+            case KNOWLEDGE -> CompletableFuture.completedFuture(Gossiper.acknowledge(false));
             case PROBE, BODY_NOT_SET -> CompletableFuture.completedFuture(Gossiper.acknowledge(true));
         };
     }
