Explain asks the hosts of the host list too

Change: the hosts of the list are asked beside those known by gossip. No test of its own: the demo runs it end to end.

--- a/daemon/src/main/java/io/heatherloft/daemon/http/OperationsServlet.java
+++ b/daemon/src/main/java/io/heatherloft/daemon/http/OperationsServlet.java
@@ -11,6 +11,7 @@
 import io.heatherloft.domain.membership.Member;
 import io.heatherloft.peer.generated.ExplainQuery;
 import io.heatherloft.peer.generated.PeerRequest;
+import io.heatherloft.ports.hosts.HostListing;
 import io.heatherloft.ports.http.JsonHttp;
 import io.heatherloft.ports.loop.Futures;
 import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
@@ -20,6 +21,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.stream.Stream;
 
 /**
  * The operators' read-only pages: live, ready, metrics, status and explanations.
@@ -62,16 +64,16 @@
         if (found.isPresent()) {
             return json(JsonHttp.MAPPER.valueToTree(found.get().view()).toString());
         }
-        List<Member> peers = host.fleet().members().alivePeers();
+        List<String> peers = otherHosts();
         if (peers.isEmpty()) {
             return text(STATUS_NOT_FOUND, "no host remembers request " + requestId);
         }
         SettablePromise<HttpResponse> response = new SettablePromise<>();
         AtomicInteger open = new AtomicInteger(peers.size());
-        peers.forEach(peer -> {
+        peers.forEach(address -> {
             PeerRequest.Builder query = PeerRequest.newBuilder()
                     .setExplain(ExplainQuery.newBuilder().setRequestId(requestId));
-            Futures.onComplete(host.gossiper().call(peer.address(), query), (reply, failure) -> {
+            Futures.onComplete(host.gossiper().call(address, query), (reply, failure) -> {
                 if (failure == null && !reply.getExplain().getJson().isEmpty()) {
                     json(reply.getExplain().getJson()).whenResult(response::trySet);
                 }
@@ -84,6 +86,18 @@
         return response;
     }
 
+    // Shortly after a start the hosts have not met yet, so those of the host list are asked as well.
+    private List<String> otherHosts() {
+        String self = host.fleet().members().self().id();
+        return Stream.concat(
+                        host.fleet().members().alivePeers().stream().map(Member::address),
+                        host.fleet().hosts().entryHosts().stream()
+                                .filter(listed -> !listed.id().equals(self))
+                                .map(HostListing.EntryHost::peerAddress))
+                .distinct()
+                .toList();
+    }
+
     private Promise<HttpResponse> metrics() throws IOException {
         ByteArrayOutputStream buffer = new ByteArrayOutputStream();
         new PrometheusTextFormatWriter(false).write(buffer, metrics.scrape());
