One parser of addresses; the roll-out driver logs what it could not write

Cause: the last read of the change: 'IP:port' was parsed in four places, two of them new; a progress that was not written and a state that could not be read back left no line, and a verdict did not name the speeds that may have decided it. Change: ports SocketAddresses serves daemon, peer, router and entry; three log lines, two fields. Decisions are as before.

--- a/daemon/src/main/java/io/heatherloft/daemon/Daemon.java
+++ b/daemon/src/main/java/io/heatherloft/daemon/Daemon.java
@@ -17,6 +17,7 @@
 import io.heatherloft.ports.backend.HttpEngineOrders;
 import io.heatherloft.ports.hosts.HttpHostList;
 import io.heatherloft.ports.http.HttpClients;
+import io.heatherloft.ports.http.SocketAddresses;
 import io.heatherloft.ports.loop.EventloopLoop;
 import io.heatherloft.ports.rating.HttpRatingService;
 import io.heatherloft.ports.store.EtcdGatewayStore;
@@ -25,7 +26,6 @@
 import io.prometheus.metrics.instrumentation.dropwizard.DropwizardExports;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import java.io.IOException;
-import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
@@ -47,7 +47,6 @@
 public final class Daemon {
     private static final Logger LOG = LogManager.getLogger(Daemon.class);
     private static final Duration SLOWEST_CALLER = Duration.ofSeconds(30);
-    private static final char PORT_SEPARATOR = ':';
 
     private final DaemonSettings settings;
     private final Eventloop eventloop;
@@ -145,8 +144,8 @@
                 settings.availabilityZone(),
                 Member.Status.ALIVE);
         core = new HostCore(ports, self, registry);
-        peerServer =
-                new NettyPeerServer(peerGroup, addressOf(settings.peerAddress()), loop, traffic, core.peerHandler());
+        peerServer = new NettyPeerServer(
+                peerGroup, SocketAddresses.parse(settings.peerAddress()), loop, traffic, core.peerHandler());
         PrometheusRegistry metrics = new PrometheusRegistry();
         registerGauges();
         metrics.register(new DropwizardExports(registry));
@@ -170,7 +169,7 @@
 
     private HttpServer listen(String address, AsyncServlet servlet) throws IOException {
         HttpServer server = HttpServer.builder(eventloop, servlet)
-                .withListenAddress(addressOf(address))
+                .withListenAddress(SocketAddresses.parse(address))
                 .withReadWriteTimeout(SLOWEST_CALLER)
                 .build();
         server.listen();
@@ -199,10 +198,4 @@
                 .shutdownGracefully(0, 1, java.util.concurrent.TimeUnit.SECONDS)
                 .syncUninterruptibly();
     }
-
-    private static InetSocketAddress addressOf(String address) {
-        int separator = address.lastIndexOf(PORT_SEPARATOR);
-        return new InetSocketAddress(
-                address.substring(0, separator), Integer.parseInt(address.substring(separator + 1)));
-    }
 }
--- a/entry/src/main/java/io/heatherloft/entry/EntryHost.java
+++ b/entry/src/main/java/io/heatherloft/entry/EntryHost.java
@@ -10,6 +10,7 @@
 import io.heatherloft.platform.PlatformHeaders;
 import io.heatherloft.platform.PlatformSettings;
 import io.heatherloft.platform.PlatformStore;
+import io.heatherloft.ports.http.SocketAddresses;
 import io.heatherloft.ports.loop.Loop;
 import io.heatherloft.router.NettyLoop;
 import io.heatherloft.router.backend.BackendPool;
@@ -30,7 +31,6 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
-import java.net.InetSocketAddress;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
@@ -151,7 +151,7 @@
                     .join();
             settings.peerAddress()
                     .ifPresent(address -> new NettyPeerServer(
-                            host.group, socketAddress(address), host.loop, host.traffic, host.spreader));
+                            host.group, SocketAddresses.parse(address), host.loop, host.traffic, host.spreader));
         } catch (CompletionException exception) {
             throw new IllegalStateException(String.valueOf(exception.getCause()), exception);
         }
@@ -160,7 +160,7 @@
     }
 
     private CompletableFuture<Void> listen(CallerServer server, String address) {
-        return server.listen(socketAddress(address));
+        return server.listen(SocketAddresses.parse(address));
     }
 
     /** Returns the port at which callers are served. */
@@ -178,12 +178,6 @@
         return metricsServer.port();
     }
 
-    private static InetSocketAddress socketAddress(String address) {
-        int separator = address.lastIndexOf(':');
-        return new InetSocketAddress(
-                address.substring(0, separator), Integer.parseInt(address.substring(separator + 1)));
-    }
-
     private void begin() {
         log.lifecycle("start", line -> line.with("availability_zone", settings.availabilityZone())
                 .with("store", settings.storeAddress())
--- a/peer/src/main/java/io/heatherloft/peer/NettyPeerNetwork.java
+++ b/peer/src/main/java/io/heatherloft/peer/NettyPeerNetwork.java
@@ -3,6 +3,7 @@
 import io.heatherloft.peer.generated.Frame;
 import io.heatherloft.peer.generated.PeerReply;
 import io.heatherloft.peer.generated.PeerRequest;
+import io.heatherloft.ports.http.SocketAddresses;
 import io.heatherloft.ports.loop.Futures;
 import io.heatherloft.ports.loop.Loop;
 import io.netty.bootstrap.Bootstrap;
@@ -28,7 +29,6 @@
 public final class NettyPeerNetwork implements PeerNetwork {
     private static final long CALL_TIMEOUT_MILLIS = 1_000L;
     private static final int CONNECT_TIMEOUT_MILLIS = 500;
-    private static final char PORT_SEPARATOR = ':';
 
     private final Loop loop;
     private final PeerTraffic traffic;
@@ -74,9 +74,7 @@
 
     private Connection open(String address) {
         Connection connection = new Connection(address);
-        int separator = address.lastIndexOf(PORT_SEPARATOR);
-        InetSocketAddress target = new InetSocketAddress(
-                address.substring(0, separator), Integer.parseInt(address.substring(separator + 1)));
+        InetSocketAddress target = SocketAddresses.parse(address);
         ChannelFuture connecting = bootstrap
                 .clone()
                 .handler(new FrameChannel(
--- a/router/src/main/java/io/heatherloft/router/backend/BackendPool.java
+++ b/router/src/main/java/io/heatherloft/router/backend/BackendPool.java
@@ -1,5 +1,6 @@
 package io.heatherloft.router.backend;
 
+import io.heatherloft.ports.http.SocketAddresses;
 import io.heatherloft.ports.loop.Loop;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
@@ -89,10 +90,7 @@
 
     private BackendExchange connect(BackendTarget target, FullHttpRequest request, AnswerListener listener) {
         BackendConnection connection = new BackendConnection(this, loop, settings, target);
-        int separator = target.address().lastIndexOf(':');
-        InetSocketAddress address = new InetSocketAddress(
-                target.address().substring(0, separator),
-                Integer.parseInt(target.address().substring(separator + 1)));
+        InetSocketAddress address = SocketAddresses.parse(target.address());
         BackendExchange exchange = connection.begin(request, listener);
         ChannelFuture connecting = bootstrap
                 .clone()
--- a/router/src/main/java/io/heatherloft/router/fleet/RolloutDriver.java
+++ b/router/src/main/java/io/heatherloft/router/fleet/RolloutDriver.java
@@ -12,7 +12,6 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
-import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
 
@@ -93,11 +92,13 @@
         Futures.onComplete(
                 store.putIfRevision(
                         key, Bytes.ofText(progress.toText()), policy.progressKeyRevision(), OptionalLong.empty()),
-                (outcome, _failure) -> {
+                (outcome, failure) -> {
                     // A host that lost the race learns the other's record from its watch; the pause lets it arrive.
                     loop.schedule(TICK_MILLIS, () -> recording.remove(service));
                     if (outcome instanceof WriteOutcome.Applied applied) {
                         versions.onProgress(service, progress, applied.revision());
+                    } else {
+                        logUnwritten("rollout_progress", service, reasonOf(outcome, failure));
                     }
                 });
     }
@@ -111,6 +112,8 @@
                         .with("target_bad", rollout.target().bad())
                         .with("before_answers", rollout.before().answers())
                         .with("before_bad", rollout.before().bad())
+                        .with("target_speed", rollout.target().speeds().toString())
+                        .with("before_speed", rollout.before().speeds().toString())
                         .with("outcome", outcome));
     }
 
@@ -132,22 +135,28 @@
                         versions.onState(state, applied.revision());
                         logDecision(rollout, "written_" + phase);
                     } else {
-                        readBack(
-                                key,
-                                service,
-                                Optional.ofNullable(outcome)
-                                        .map(Object::toString)
-                                        .orElseGet(() -> String.valueOf(failure)));
+                        logUnwritten("rollout_state", service, reasonOf(outcome, failure));
+                        readBack(key, service);
                     }
                 });
     }
 
-    private void readBack(String key, String service, String reason) {
+    private static String reasonOf(WriteOutcome outcome, Throwable failure) {
+        return failure == null ? String.valueOf(outcome) : String.valueOf(failure.getMessage());
+    }
+
+    private void logUnwritten(String subject, String service, String reason) {
         log.belief(
-                "rollout_state",
+                subject,
                 line -> line.with("service", service).with("reason", reason).with("outcome", "not_written"));
+    }
+
+    private void readBack(String key, String service) {
         Futures.onComplete(store.get(key), (value, failure) -> {
             if (failure != null) {
+                log.belief("rollout_state", line -> line.with("service", service)
+                        .with("reason", String.valueOf(failure.getMessage()))
+                        .with("outcome", "not_read_back"));
                 return;
             }
             value.ifPresent(found -> {
