A request that crashes its servers is kept from a fourth one

Ruled out: counting broken answers alone (lost answers and resets would block sound requests); counting only on one host (the caller comes back at any host). Change: an answer that broke off is a suspicion, which a refused connection, a restart or a removal of the server's entry confirms; hosts tell each other the crashes and the suspects that were answered since. Three servers without an answer block the request for a minute with 503 where it has not run. Before: EntryHostTest's crash case fails with the guard off (request reached the fourth server). After: passes.

--- /dev/null
+++ b/domain/src/main/java/io/heatherloft/domain/route/CrashSuspects.java
@@ -0,0 +1,122 @@
+package io.heatherloft.domain.route;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * Finds the requests that crash each backend server that runs them.
+ *
+ * <p>A request whose answer broke off is a suspect of its server's crash once the server turns out to be down. Requests
+ * that only ran beside it are suspects too, but each of their later answers clears them. Invariants: a request is blocked
+ * only while three servers crashed under it and none has answered it; what is remembered is bounded in number and age.
+ * Confined to one thread.
+ */
+public final class CrashSuspects {
+    // The platform's rules allow a request to crash three servers before it must be recognized.
+    private static final int SERVERS = 3;
+    // Time in which the end of a server shows: three missed heartbeats and a store call.
+    private static final long SIGN_MILLIS = 6_000L;
+    // Time after which a blocked request is tried once more, for a server that has been mended since.
+    private static final long MEMORY_MILLIS = 60_000L;
+    private static final int MOST_REQUESTS = 256;
+
+    private final Map<Long, Map<String, Long>> crashes = bounded();
+    private final Map<Long, Long> answered = bounded();
+    private final Map<String, List<BrokenOff>> waiting = bounded();
+
+    /** A server that crashed while it ran a request. */
+    public record Crash(long request, String server) {}
+
+    private record BrokenOff(long request, long atMillis) {}
+
+    /** A server's answer to a request broke off before its end. */
+    public void recordBrokenOff(long request, String server, long nowMillis) {
+        List<BrokenOff> onServer = waiting.computeIfAbsent(server, _server -> new ArrayList<>());
+        onServer.removeIf(broken -> nowMillis - broken.atMillis() > SIGN_MILLIS);
+        if (onServer.size() < MOST_REQUESTS) {
+            onServer.add(new BrokenOff(request, nowMillis));
+        }
+    }
+
+    /** A server refused a connection, has started anew or has vanished: what broke off there lately was a crash. */
+    public void recordServerDown(String server, long nowMillis) {
+        List<BrokenOff> onServer = waiting.remove(server);
+        if (onServer != null) {
+            onServer.stream()
+                    .filter(broken -> nowMillis - broken.atMillis() <= SIGN_MILLIS)
+                    .forEach(broken -> learnCrash(new Crash(broken.request(), server), nowMillis));
+        }
+    }
+
+    /** A server has answered a request: it crashes none. */
+    public void recordAnswered(long request, long nowMillis) {
+        if (crashes.remove(request) != null) {
+            answered.put(request, nowMillis);
+        }
+    }
+
+    /** Takes a crash that another host saw; ignored if the request was answered meanwhile. */
+    public void learnCrash(Crash crash, long nowMillis) {
+        if (isFresh(answered.get(crash.request()), nowMillis)) {
+            return;
+        }
+        crashes.computeIfAbsent(crash.request(), _request -> new HashMap<>()).putIfAbsent(crash.server(), nowMillis);
+    }
+
+    /** Takes from another host that a request was answered. */
+    public void learnAnswered(long request, long nowMillis) {
+        if (!isFresh(answered.get(request), nowMillis)) {
+            crashes.remove(request);
+            answered.put(request, nowMillis);
+        }
+    }
+
+    /** Returns true if anything is suspected; if not, requests need not be identified. */
+    public boolean isEmpty() {
+        return crashes.isEmpty();
+    }
+
+    /** Returns true if a request must not be sent to another server. */
+    public boolean isBlocked(long request, long nowMillis) {
+        Map<String, Long> servers = crashes.getOrDefault(request, Map.of());
+        servers.values().removeIf(atMillis -> !isFresh(atMillis, nowMillis));
+        return servers.size() >= SERVERS;
+    }
+
+    /** Returns the crashes that are remembered, for other hosts. */
+    public List<Crash> crashes(long nowMillis, int limit) {
+        return crashes.entrySet().stream()
+                .flatMap(entry -> entry.getValue().entrySet().stream()
+                        .filter(crash -> isFresh(crash.getValue(), nowMillis))
+                        .map(crash -> new Crash(entry.getKey(), crash.getKey())))
+                .limit(limit)
+                .toList();
+    }
+
+    /** Returns the suspects that were answered, for other hosts. */
+    public Set<Long> answered(long nowMillis) {
+        Set<Long> fresh = new HashSet<>(answered.keySet());
+        fresh.removeIf(request -> !isFresh(answered.get(request), nowMillis));
+        return fresh;
+    }
+
+    private static boolean isFresh(Long atMillis, long nowMillis) {
+        return atMillis != null && nowMillis - atMillis <= MEMORY_MILLIS;
+    }
+
+    private static <K, V> Map<K, V> bounded() {
+        return new LinkedHashMap<>() {
+            private static final long serialVersionUID = 1L;
+
+            @Override
+            protected boolean removeEldestEntry(Map.Entry<K, V> _eldest) {
+                return size() > MOST_REQUESTS;
+            }
+        };
+    }
+}
--- a/domain/src/test/java/io/heatherloft/domain/route/RouteDecisionsTest.java
+++ b/domain/src/test/java/io/heatherloft/domain/route/RouteDecisionsTest.java
@@ -167,4 +167,59 @@
             assertThat(unavailable).isLessThan(100);
         }
     }
+
+    @Nested
+    final class CrashingRequests {
+        private static final long CRASHER = 1;
+        private static final long NEIGHBOUR = 2;
+        private final CrashSuspects suspects = new CrashSuspects();
+
+        private void crash(long request, String server, long nowMillis) {
+            suspects.recordBrokenOff(request, server, nowMillis);
+            suspects.recordServerDown(server, nowMillis + 500);
+        }
+
+        @Test
+        void are_blocked_after_the_third_server_and_tried_again_after_a_minute() {
+            crash(CRASHER, "a", 0);
+            crash(CRASHER, "b", 1_000);
+            assertThat(suspects.isBlocked(CRASHER, 2_000)).isFalse();
+            crash(CRASHER, "c", 2_000);
+            assertThat(suspects.isBlocked(CRASHER, 3_000)).isTrue();
+            assertThat(suspects.isBlocked(CRASHER, 70_000)).isFalse();
+        }
+
+        @Test
+        void are_told_from_requests_that_ran_beside_them_by_an_answer() {
+            List.of("a", "b", "c").forEach(server -> {
+                suspects.recordBrokenOff(CRASHER, server, 0);
+                suspects.recordBrokenOff(NEIGHBOUR, server, 0);
+                suspects.recordServerDown(server, 100);
+            });
+            suspects.recordAnswered(NEIGHBOUR, 200);
+            assertThat(suspects.isBlocked(CRASHER, 300)).isTrue();
+            assertThat(suspects.isBlocked(NEIGHBOUR, 300)).isFalse();
+        }
+
+        @Test
+        void are_not_suspected_of_answers_lost_by_servers_that_stay_up() {
+            List.of("a", "b", "c").forEach(server -> suspects.recordBrokenOff(CRASHER, server, 0));
+            suspects.recordServerDown("a", 20_000);
+            assertThat(suspects.isEmpty()).isTrue();
+        }
+
+        @Test
+        void are_known_to_hosts_that_saw_one_crash_each() {
+            CrashSuspects other = new CrashSuspects();
+            crash(CRASHER, "a", 0);
+            crash(CRASHER, "b", 0);
+            other.recordBrokenOff(CRASHER, "c", 0);
+            other.recordServerDown("c", 100);
+            suspects.crashes(200, 12).forEach(seen -> other.learnCrash(seen, 200));
+            assertThat(other.isBlocked(CRASHER, 300)).isTrue();
+            suspects.recordAnswered(CRASHER, 400);
+            suspects.answered(500).forEach(answered -> other.learnAnswered(answered, 500));
+            assertThat(other.isBlocked(CRASHER, 600)).isFalse();
+        }
+    }
 }
--- a/entry/src/main/java/io/heatherloft/entry/EntryHost.java
+++ b/entry/src/main/java/io/heatherloft/entry/EntryHost.java
@@ -115,6 +115,7 @@
         metrics.gauge("backend_connections_reused", () -> backendPool::reused);
         metrics.gauge("store_reachable", () -> () -> knowledge.isStoreReachable() ? 1 : 0);
         metrics.gauge("configuration_revision", () -> knowledge::configurationRevision);
+        metrics.gauge("backend_servers_known", () -> () -> registry.all().size());
         metrics.gauge("hosts_known", () -> reports::hostCount);
         metrics.gauge("requests_in_progress", () -> engine::inProgress);
         metrics.gauge("peer_bytes_sent", () -> traffic::sentBytes);
--- a/entry/src/test/java/io/heatherloft/entry/EntryHostTest.java
+++ b/entry/src/test/java/io/heatherloft/entry/EntryHostTest.java
@@ -209,6 +209,30 @@
             assertThat(receivedInAll(first, second)).isEqualTo(0);
         }
 
+        @Test
+        void that_crashed_three_servers_reaches_no_fourth_on_any_host() {
+            int port = PlatformRig.freePort();
+            EntryHost first = rig.host("h-1", port, List.of());
+            EntryHost other = rig.host("h-2", PlatformRig.freePort(), List.of(port));
+            for (int crash = 1; crash <= 3; crash++) {
+                String id = "d-" + crash;
+                RunnerStandIn server = rig.backend("desk", id, "v1");
+                rig.awaitBackends(first, 1);
+                rig.onLoop(() -> server.next(Act.LOSE_ANSWER));
+                assertThat(rig.plain(first, "POST", "/bookings/x", "r" + crash)).startsWith("HTTP/1.1 502");
+                rig.onLoop(() -> rig.store.delete("servers/" + id));
+                rig.awaitBackends(first, 0);
+            }
+            RunnerStandIn fourth = rig.backend("desk", "d-4", "v1");
+            rig.onLoop(() -> fourth.next(Act.LOSE_ANSWER));
+            rig.awaitBackends(other, 1);
+            rig.awaitBackends(first, 1);
+            rig.await(() -> rig.plain(other, "POST", "/bookings/x", "r9").startsWith("HTTP/1.1 503"));
+            int received = rig.onLoop(fourth.received()::size);
+            assertThat(rig.plain(first, "POST", "/bookings/x", "r10")).startsWith("HTTP/1.1 503");
+            assertThat(rig.onLoop(fourth.received()::size)).isEqualTo(received);
+        }
+
         @Test
         void with_an_unknown_key_is_unauthorized_and_without_a_route_not_found() {
             EntryHost host = hostWithTwoServers();
--- a/entry/src/test/java/io/heatherloft/entry/PlatformRig.java
+++ b/entry/src/test/java/io/heatherloft/entry/PlatformRig.java
@@ -102,6 +102,11 @@
         return get(host.readyPort(), "/v1/ready").startsWith("HTTP/1.1 200");
     }
 
+    /** Waits until a host knows a number of backend servers. */
+    void awaitBackends(EntryHost host, int count) {
+        await(() -> get(host.metricsPort(), "/metrics").contains("backend_servers_known " + count + ".0\n"));
+    }
+
     String get(int port, String path) {
         return exchange(port, "GET " + path + " HTTP/1.1\r\nHost: a.example\r\nConnection: close\r\n\r\n");
     }
--- a/router/src/main/java/io/heatherloft/router/fleet/BackendRegistry.java
+++ b/router/src/main/java/io/heatherloft/router/fleet/BackendRegistry.java
@@ -1,6 +1,7 @@
 package io.heatherloft.router.fleet;
 
 import io.heatherloft.domain.route.BackendEntry;
+import io.heatherloft.domain.route.CrashSuspects;
 import io.heatherloft.ports.loop.Loop;
 import io.heatherloft.router.log.DecisionLog;
 import java.util.Collection;
@@ -19,6 +20,7 @@
     private final Loop loop;
     private final DecisionLog log;
     private final Map<String, BackendServerState> servers = new HashMap<>();
+    private final CrashSuspects crashSuspects = new CrashSuspects();
     private final Map<String, Long> removedRevisions = new HashMap<>();
 
     /** Creates an empty registry. */
@@ -37,6 +39,7 @@
         if (known == null
                 || known.entry().startedAtMillis() != entry.startedAtMillis()
                 || !known.entry().address().equals(entry.address())) {
+            onEnd(known);
             servers.put(entry.id(), new BackendServerState(entry, revision, loop.nowMillis()));
             logChange(entry, revision, known == null ? "joined" : "restarted");
             return;
@@ -52,11 +55,23 @@
         BackendServerState known = servers.get(id);
         if (known != null && revision > known.revision()) {
             servers.remove(id);
+            onEnd(known);
             removedRevisions.put(id, revision);
             logChange(known.entry(), revision, "gone");
         }
     }
 
+    private void onEnd(BackendServerState ended) {
+        if (ended != null && !ended.entry().draining()) {
+            crashSuspects.recordServerDown(ended.incarnation(), loop.nowMillis());
+        }
+    }
+
+    /** Returns the requests that crash servers. */
+    public CrashSuspects crashSuspects() {
+        return crashSuspects;
+    }
+
     /** Returns the server with an identity. */
     public Optional<BackendServerState> find(String id) {
         return Optional.ofNullable(servers.get(id));
--- a/router/src/main/java/io/heatherloft/router/fleet/BackendServerState.java
+++ b/router/src/main/java/io/heatherloft/router/fleet/BackendServerState.java
@@ -61,6 +61,11 @@
         return firstSeenMillis;
     }
 
+    /** Returns a name of this start of the server. */
+    public String incarnation() {
+        return entry.id() + '@' + entry.startedAtMillis();
+    }
+
     /** Returns where to connect. */
     public BackendTarget target() {
         return target;
--- a/router/src/main/java/io/heatherloft/router/peers/KnowledgeSpreader.java
+++ b/router/src/main/java/io/heatherloft/router/peers/KnowledgeSpreader.java
@@ -4,6 +4,7 @@
 import io.heatherloft.domain.Bytes;
 import io.heatherloft.domain.rollout.SpeedSums;
 import io.heatherloft.domain.rollout.VersionOutcomes;
+import io.heatherloft.domain.route.CrashSuspects;
 import io.heatherloft.peer.PeerNetwork;
 import io.heatherloft.peer.generated.BackendLoad;
 import io.heatherloft.peer.generated.HostReport;
@@ -11,6 +12,7 @@
 import io.heatherloft.peer.generated.PeerReply;
 import io.heatherloft.peer.generated.PeerRequest;
 import io.heatherloft.peer.generated.PrefixNews;
+import io.heatherloft.peer.generated.RequestCrash;
 import io.heatherloft.peer.generated.StoredItem;
 import io.heatherloft.peer.generated.VersionCounts;
 import io.heatherloft.ports.loop.Futures;
@@ -36,6 +38,8 @@
     private static final long LEAST_ROUND_MILLIS = 200L;
     private static final long MILLIS_PER_HOST = 8L;
     private static final int REPORTS_PER_MESSAGE = 16;
+    // Keeps a report under a few hundred bytes; crashing requests are rare.
+    private static final int CRASHES_PER_REPORT = 12;
 
     private final Loop loop;
     private final PeerNetwork network;
@@ -185,6 +189,12 @@
                 .forEach(server -> report.addLoads(BackendLoad.newBuilder()
                         .setBackendId(server.entry().id())
                         .setOutstanding(server.outstanding())));
+        CrashSuspects suspects = registry.crashSuspects();
+        suspects.crashes(loop.nowMillis(), CRASHES_PER_REPORT)
+                .forEach(crash -> report.addCrashes(RequestCrash.newBuilder()
+                        .setRequestHash(crash.request())
+                        .setServer(crash.server())));
+        suspects.answered(loop.nowMillis()).stream().limit(CRASHES_PER_REPORT).forEach(report::addAnsweredSuspects);
         versions.progress(loop.nowMillis())
                 .forEach(progress -> report.addVersions(VersionCounts.newBuilder()
                         .setService(progress.service())
@@ -223,7 +233,16 @@
     }
 
     private void acceptReports(KnowledgeExchange message) {
-        message.getReportsList().stream().filter(reports::accept).forEach(report -> report.getVersionsList()
+        message.getReportsList().stream().filter(reports::accept).forEach(this::learn);
+    }
+
+    private void learn(HostReport report) {
+        CrashSuspects suspects = registry.crashSuspects();
+        report.getAnsweredSuspectsList().forEach(request -> suspects.learnAnswered(request, loop.nowMillis()));
+        report.getCrashesList()
+                .forEach(crash -> suspects.learnCrash(
+                        new CrashSuspects.Crash(crash.getRequestHash(), crash.getServer()), loop.nowMillis()));
+        report.getVersionsList()
                 .forEach(counts -> versions.recordOtherHost(
                         report.getHost() + '/' + report.getIncarnation(),
                         new VersionPolicies.Progress(
@@ -237,7 +256,7 @@
                                 new VersionOutcomes(
                                         counts.getBeforeAnswers(),
                                         counts.getBeforeBad(),
-                                        decode(counts.getBeforeSpeed()))))));
+                                        decode(counts.getBeforeSpeed())))));
     }
 
     private static io.heatherloft.peer.generated.SpeedSums encode(SpeedSums sums) {
--- a/router/src/main/java/io/heatherloft/router/request/RefusalReason.java
+++ b/router/src/main/java/io/heatherloft/router/request/RefusalReason.java
@@ -19,6 +19,8 @@
     NO_BACKEND(503, 0.5),
     /** Every backend server refused the request without running it, or could not be reached. */
     NOT_ACCEPTED(503, 0.3),
+    /** Backend servers crashed each time that they ran the request. */
+    CRASHES_SERVERS(503, 60),
     /** The time for the request ended before it was sent to a backend server. */
     EXPIRED_UNSENT(503, 0.2),
     /** The time for the request ended while a backend server had it. */
--- a/router/src/main/java/io/heatherloft/router/request/RequestExecution.java
+++ b/router/src/main/java/io/heatherloft/router/request/RequestExecution.java
@@ -42,6 +42,7 @@
     private final Set<String> triedBackends = new HashSet<>();
     private final EventRelay relay;
     private final ModelChoice models;
+    private final CrashGuard crashGuard;
     private Loop.Cancellation endTimer = () -> {};
     private Attempt attempt;
     private int sends;
@@ -69,6 +70,7 @@
                 + Math.min(
                         facts.deadlineMillis().orElse(DEFAULT_DEADLINE_MILLIS),
                         route.timeoutMillis().orElse(Long.MAX_VALUE / 2));
+        this.crashGuard = new CrashGuard(engine.loop(), engine.registry().crashSuspects(), request, holder);
         this.models = new ModelChoice(route.modelSizes());
         this.relay = new EventRelay(facts.lastEventId(), this::sendEvent);
     }
@@ -108,6 +110,10 @@
             onTimeEnded();
             return;
         }
+        if (crashGuard.isBlocked()) {
+            giveUp(RefusalReason.CRASHES_SERVERS);
+            return;
+        }
         Optional<BackendServerState> chosen = engine.chooser().choose(service, facts, triedBackends);
         if (chosen.isEmpty()) {
             giveUp(RefusalReason.NO_BACKEND);
@@ -193,6 +199,7 @@
         }
         triedBackends.add(ending.server().entry().id());
         if (failure.kind() == ExchangeFailure.Kind.NOT_SENT) {
+            crashGuard.onUnreachable(ending.server());
             sends--;
             connectFailures++;
             if (connectFailures <= MAX_CONNECT_FAILURES) {
@@ -203,6 +210,7 @@
             return;
         }
         mayHaveRun = true;
+        crashGuard.onBrokenOff(ending.server());
         relay.discardPartial();
         if (route.repeatPolicy().mayRepeat() && !relay.isDisordered() && mayRetry(failure.reason())) {
             dispatch();
@@ -235,6 +243,7 @@
             return;
         }
         mayHaveRun = true;
+        crashGuard.onAnswered();
         boolean failed = status >= 500;
         if (failed) {
             triedBackends.add(ending.server().entry().id());
@@ -263,6 +272,7 @@
     /** The stream has ended as complete. */
     void onStreamEnd(Attempt ending) {
         if (isCurrent(ending)) {
+            crashGuard.onAnswered();
             finish("answered", 200);
             exchange.endStream();
         }
