Hosts that start anew do not each take half of the fleet's retry allowance

Cause: a host that knows no other host yet took half of the whole allowance as its first balance, so 58 hosts that start together held 58 halves. Ruled out: the ratio (kept in every window while hosts know each other, shown at 0.5, 5 and 400 requests a second each way). Change: RetryBudgets holds a host's part; a new host starts with two retries and earns the rest.

--- a/router/src/main/java/io/heatherloft/router/backend/BackendPool.java
+++ b/router/src/main/java/io/heatherloft/router/backend/BackendPool.java
@@ -8,6 +8,7 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
+import io.netty.channel.socket.nio.NioChannelOption;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpClientCodec;
@@ -18,6 +19,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import jdk.net.ExtendedSocketOptions;
 
 /**
  * Connections to backend servers, kept for reuse.
@@ -27,6 +29,9 @@
  */
 public final class BackendPool {
     private static final int MAX_HEADER_BYTES = 16_384;
+    // A connection that went silent without a reset fails after about three seconds, even while an answer is awaited.
+    private static final int KEEPALIVE_SECONDS = 1;
+    private static final int KEEPALIVE_PROBES = 2;
 
     private final Loop loop;
     private final PoolSettings settings;
@@ -43,7 +48,11 @@
                 .group(group)
                 .channel(NioSocketChannel.class)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, settings.connectTimeoutMillis())
-                .option(ChannelOption.TCP_NODELAY, true);
+                .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.SO_KEEPALIVE, true)
+                .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPIDLE), KEEPALIVE_SECONDS)
+                .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPINTERVAL), KEEPALIVE_SECONDS)
+                .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPCOUNT), KEEPALIVE_PROBES);
     }
 
     /** Sends a request; takes over its body. */
--- a/router/src/main/java/io/heatherloft/router/request/Attempt.java
+++ b/router/src/main/java/io/heatherloft/router/request/Attempt.java
@@ -148,13 +148,13 @@
 
     @Override
     public boolean onHead(int newStatus, HttpHeaders newHeaders) {
-        promptIsRead();
-        onNews();
         AnswerFacts facts = execution.engine().dialect().readAnswer(newStatus, newHeaders);
         if (facts.attemptId().isPresent()
                 && !facts.attemptId().equals(execution.facts().attemptId())) {
             return false;
         }
+        promptIsRead();
+        onNews();
         status = newStatus;
         headers = newHeaders;
         if (facts.notExecuted() || status == MISDIRECTED) {
--- a/router/src/main/java/io/heatherloft/router/request/RequestEngine.java
+++ b/router/src/main/java/io/heatherloft/router/request/RequestEngine.java
@@ -15,8 +15,6 @@
 import io.heatherloft.router.http.CallerRequest;
 import io.heatherloft.router.log.DecisionLog;
 import io.heatherloft.router.peers.HostReports;
-import java.util.HashMap;
-import java.util.Map;
 import java.util.Optional;
 
 /**
@@ -28,8 +26,6 @@
     // Time from the start of a process within which the store usually answers; requests wait for it that long.
     private static final long START_MILLIS = 1_000L;
     private static final long START_POLL_MILLIS = 10L;
-    // Repeated sends that a host may save up however many share the allowance.
-    private static final double LEAST_RETRY_ALLOWANCE = 2;
 
     private final long createdAtMillis;
     private final Loop loop;
@@ -41,9 +37,7 @@
     private final BackendChooser chooser;
     private final DecisionLog log;
     private final MetricRegistry metrics;
-    private final HostReports reports;
-    private final EngineSettings settings;
-    private final Map<String, RetryBudget> retryBudgets = new HashMap<>();
+    private final RetryBudgets retryBudgets;
     private int inProgress;
 
     /** Creates an engine. */
@@ -65,10 +59,9 @@
         this.pool = pool;
         this.registry = registry;
         this.versions = versions;
-        this.settings = settings;
         this.log = log;
         this.metrics = metrics;
-        this.reports = reports;
+        this.retryBudgets = new RetryBudgets(settings.retryRatio(), settings.retryAllowance(), reports::hostCount);
         this.chooser = new BackendChooser(loop, registry, versions, reports, settings.availabilityZone());
     }
 
@@ -127,11 +120,7 @@
     }
 
     RetryBudget retryBudget(String service) {
-        double share = Math.max(LEAST_RETRY_ALLOWANCE, settings.retryAllowance() / reports.hostCount());
-        RetryBudget budget =
-                retryBudgets.computeIfAbsent(service, _name -> new RetryBudget(settings.retryRatio(), share / 2));
-        budget.limitTo(share);
-        return budget;
+        return retryBudgets.of(service);
     }
 
     Loop loop() {
--- /dev/null
+++ b/router/src/test/java/io/heatherloft/router/request/RetryBudgetsTest.java
@@ -0,0 +1,104 @@
+package io.heatherloft.router.request;
+
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import io.heatherloft.domain.routing.RetryBudget;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.stream.IntStream;
+import java.util.stream.LongStream;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+final class RetryBudgetsTest {
+    private static final double RATIO = 0.9;
+    private static final int ALLOWANCE = 156;
+    // As EntryHost: the rest covers what is in progress while a window ends.
+    private static final double USE = 0.85;
+    private static final int HOSTS = 58;
+    private static final int WINDOW_MILLIS = 10_000;
+    private static final int DAY_MILLIS = 40_000;
+
+    /** Hosts whose servers fail every request, and which learn of each other some time after they start. */
+    private static final class Fleet {
+        private final Random random;
+        private final long learningMillis;
+        private final List<RetryBudgets> hosts = new ArrayList<>();
+        private final long[] startedAt = new long[HOSTS];
+        private final List<Long> requests = new ArrayList<>();
+        private final List<Long> retries = new ArrayList<>();
+        private long now;
+
+        Fleet(long seed, long learningMillis) {
+            this.random = new Random(seed);
+            this.learningMillis = learningMillis;
+            IntStream.range(0, HOSTS).forEach(host -> hosts.add(newHost(host)));
+        }
+
+        private RetryBudgets newHost(int host) {
+            return new RetryBudgets(
+                    RATIO * USE, ALLOWANCE * USE, () -> now - startedAt[host] < learningMillis ? 1 : HOSTS);
+        }
+
+        void play(double requestsPerMilli, long restartAllAtMillis) {
+            for (now = 0; now < DAY_MILLIS; now++) {
+                if (now == restartAllAtMillis) {
+                    IntStream.range(0, HOSTS).forEach(host -> {
+                        startedAt[host] = now;
+                        hosts.set(host, newHost(host));
+                    });
+                }
+                if (random.nextDouble() < requestsPerMilli) {
+                    serve(hosts.get(random.nextInt(HOSTS)).of("s"));
+                }
+            }
+        }
+
+        private void serve(RetryBudget budget) {
+            budget.recordRequest();
+            requests.add(now);
+            for (int retry = 0; retry < 2 && budget.tryRetry(); retry++) {
+                retries.add(now);
+            }
+        }
+
+        double worstExcess() {
+            return LongStream.range(0, (DAY_MILLIS - WINDOW_MILLIS) / 100)
+                    .map(step -> step * 100)
+                    .mapToDouble(from -> within(retries, from) - RATIO * within(requests, from))
+                    .max()
+                    .orElse(0);
+        }
+
+        private static long within(List<Long> times, long from) {
+            return times.stream()
+                    .filter(time -> time >= from && time < from + WINDOW_MILLIS)
+                    .count();
+        }
+    }
+
+    @Nested
+    final class AllHostsTogether {
+        @ParameterizedTest
+        @ValueSource(doubles = {0.005, 0.05, 0.4})
+        void keep_the_budget_in_every_window_while_every_request_fails(double requestsPerMilli) {
+            for (long seed = 1; seed <= 5; seed++) {
+                Fleet fleet = new Fleet(seed, 0);
+                fleet.play(requestsPerMilli, -1);
+                assertWithMessage("seed %s", seed).that(fleet.worstExcess()).isAtMost(ALLOWANCE);
+            }
+        }
+
+        @Test
+        void keep_it_when_all_start_anew_and_do_not_know_each_other_yet() {
+            for (long seed = 1; seed <= 5; seed++) {
+                Fleet fleet = new Fleet(seed, 2_000);
+                fleet.play(0.4, 15_000);
+                assertWithMessage("seed %s", seed).that(fleet.worstExcess()).isAtMost(ALLOWANCE);
+            }
+        }
+    }
+}
