Larger models are asked on fleets of any size

Cause: a retry for a larger model needed three retries saved up (one and a reserve of two), while a host of 58 may save up 2.3; such a host never asked a larger model, whatever the confidence. Ruled out: a larger ceiling (the allowance is the fleet's). Change: the reserve is at most one retry and an eighth of what may be saved up (RetryBudget.trySpareRetry).

--- a/domain/src/main/java/io/heatherloft/domain/routing/RetryBudget.java
+++ b/domain/src/main/java/io/heatherloft/domain/routing/RetryBudget.java
@@ -7,6 +7,11 @@
  * successes. Confined to one thread.
  */
 public final class RetryBudget {
+    // Retries that are left for failures: one, and less where a host may save up few, so that some can be spared at
+    // all.
+    private static final double LARGEST_RESERVE = 1;
+    private static final double RESERVE_SHARE = 0.125;
+
     private final double ratio;
     private double ceiling;
     private double balance;
@@ -44,8 +49,12 @@
         return tryRetry(0);
     }
 
-    /** Takes one retry from the budget if more than {@code reserve} are left after it; returns false otherwise. */
-    public boolean tryRetry(double reserve) {
+    /** Takes one retry that can be done without; returns false if few are left for failures. */
+    public boolean trySpareRetry() {
+        return tryRetry(Math.min(LARGEST_RESERVE, ceiling * RESERVE_SHARE));
+    }
+
+    private boolean tryRetry(double reserve) {
         if (balance < 1 + reserve) {
             return false;
         }
--- a/router/src/main/java/io/heatherloft/router/request/RequestExecution.java
+++ b/router/src/main/java/io/heatherloft/router/request/RequestExecution.java
@@ -2,6 +2,7 @@
 
 import io.heatherloft.domain.route.KeyHolder;
 import io.heatherloft.domain.route.Route;
+import io.heatherloft.domain.routing.RetryBudget;
 import io.heatherloft.ports.loop.Loop;
 import io.heatherloft.router.backend.ExchangeFailure;
 import io.heatherloft.router.fleet.BackendServerState;
@@ -13,6 +14,7 @@
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.Set;
+import java.util.function.Predicate;
 
 /**
  * One request of a caller, from its admission to its final answer.
@@ -28,8 +30,6 @@
     private static final int MAX_CONNECT_FAILURES = 3;
     // Time after which a caller without a deadline has gone.
     private static final long DEFAULT_DEADLINE_MILLIS = 30_000L;
-    // Repeated sends that are kept back for failures when a larger model would take one.
-    private static final double ESCALATION_RESERVE = 2;
 
     private final RequestEngine engine;
     private final CallerRequest request;
@@ -170,7 +170,7 @@
                 .with("expected_output_tokens", facts.expectedOutputTokens())
                 .with("confidence", confidence.orElse(0))
                 .with("outcome", sufficient ? "kept" : "larger"));
-        if (sufficient || !mayRetry("confidence " + confidence.orElse(0), ESCALATION_RESERVE)) {
+        if (sufficient || !mayRetry("confidence " + confidence.orElse(0), RetryBudget::trySpareRetry)) {
             return true;
         }
         running.cancel();
@@ -290,13 +290,13 @@
     }
 
     private boolean mayRetry(String reason) {
-        return mayRetry(reason, 0);
+        return mayRetry(reason, RetryBudget::tryRetry);
     }
 
-    private boolean mayRetry(String reason, double reserve) {
+    private boolean mayRetry(String reason, Predicate<RetryBudget> allowance) {
         boolean granted = sends < route.maxAttempts()
                 && timeLeftMillis() >= LEAST_USEFUL_MILLIS
-                && engine.retryBudget(service).tryRetry(reserve);
+                && allowance.test(engine.retryBudget(service));
         engine.log().request("retry", facts.attemptId().orElse(""), line -> line.with("reason", reason)
                 .with("backend_id", attempt.server().entry().id())
                 .with("sends", sends)
--- a/router/src/test/java/io/heatherloft/router/request/RetryBudgetsTest.java
+++ b/router/src/test/java/io/heatherloft/router/request/RetryBudgetsTest.java
@@ -1,5 +1,6 @@
 package io.heatherloft.router.request;
 
+import static com.google.common.truth.Truth.assertThat;
 import static com.google.common.truth.Truth.assertWithMessage;
 
 import io.heatherloft.domain.routing.RetryBudget;
@@ -101,4 +102,24 @@
             }
         }
     }
+
+    @Nested
+    final class AHost {
+        @ParameterizedTest
+        @ValueSource(ints = {1, 6, 58, 360})
+        void spares_a_retry_for_a_larger_model_on_four_requests_in_ten_in_a_fleet_of_any_size(int hostCount) {
+            RetryBudget budget = new RetryBudgets(RATIO * USE, ALLOWANCE * USE, () -> hostCount).of("s");
+            Random random = new Random(3);
+            int wanted = 0;
+            int granted = 0;
+            for (int request = 0; request < 5_000; request++) {
+                budget.recordRequest();
+                if (random.nextInt(10) < 4) {
+                    wanted++;
+                    granted += budget.trySpareRetry() ? 1 : 0;
+                }
+            }
+            assertThat((double) granted / wanted).isGreaterThan(0.9);
+        }
+    }
 }
