--- a/entry/src/main/java/io/heatherloft/entry/EntryHost.java
+++ b/entry/src/main/java/io/heatherloft/entry/EntryHost.java
@@ -31,6 +31,9 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import java.io.IOException;
+import java.nio.channels.ServerSocketChannel;
+import java.util.Optional;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
@@ -48,16 +51,18 @@
     // Time before the end of the grace period at which open streams are broken off, for their callers to resume.
     private static final long LAST_MOMENT_MILLIS = 700L;
     private static final long STOP_POLL_MILLIS = 50L;
+    private static final long NANOS_PER_MILLI = 1_000_000L;
     // Part of the fleet's retry budget that is used; the rest covers sends in progress while a window ends.
     private static final double BUDGET_USE = 0.85;
     // Setting up the logging library takes as long as all the rest of a start, so it waits until callers are served.
     private static final long LOG_DELAY_MILLIS = 1_500L;
 
+    private final long startedAtNanos;
     private final PlatformSettings settings;
     private final EventLoopGroup group;
     private final Loop loop;
     private final DecisionLog log;
-    private final LineQueue lines = new LineQueue(LOG_DELAY_MILLIS, LoggingSetup::install);
+    private final LineQueue lines;
     private final FleetKnowledge knowledge;
     private final RolloutDriver rollouts;
     private final RequestEngine engine;
@@ -69,8 +74,10 @@
     private final KnowledgeSpreader spreader;
     private boolean stopping;
 
-    private EntryHost(PlatformSettings settings) {
+    private EntryHost(PlatformSettings settings, LineQueue lines) {
+        this.startedAtNanos = System.nanoTime();
         this.settings = settings;
+        this.lines = lines;
         this.group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
         this.loop = new NettyLoop(group.next());
         MetricRegistry metrics = new MetricRegistry();
@@ -137,29 +144,40 @@
                 settings.retryAllowance() * BUDGET_USE);
     }
 
+    /** Returns a queue of log lines that does not keep a starting host from its work. */
+    static LineQueue newLines() {
+        return new LineQueue(LOG_DELAY_MILLIS, LoggingSetup::install);
+    }
+
     /**
      * Starts a host.
      *
+     * @param early listens for callers already, or not yet
      * @param metricsPort port at which the metrics are served; 0 for any
      * @throws IllegalStateException if an address cannot be bound
      */
-    static EntryHost start(PlatformSettings settings, int metricsPort) {
-        EntryHost host = new EntryHost(settings);
+    static EntryHost start(PlatformSettings settings, LineQueue lines, EarlyListener early, int metricsPort) {
+        EntryHost host = new EntryHost(settings, lines);
         try {
-            host.listen(host.callers, settings.callerAddress()).join();
+            host.listenForCallers(early).join();
             host.listen(host.operations, settings.readyAddress()).join();
             host.listen(host.metricsServer, settings.ipNumber() + ":" + metricsPort)
                     .join();
             settings.peerAddress()
                     .ifPresent(address -> new NettyPeerServer(
                             host.group, SocketAddresses.parse(address), host.loop, host.traffic, host.spreader));
-        } catch (CompletionException exception) {
+        } catch (CompletionException | IOException exception) {
             throw new IllegalStateException(String.valueOf(exception.getCause()), exception);
         }
         host.loop.execute(host::begin);
         return host;
     }
 
+    private CompletableFuture<Void> listenForCallers(EarlyListener early) throws IOException {
+        Optional<ServerSocketChannel> channel = early.takeFor(settings.callerAddress());
+        return channel.isPresent() ? callers.listen(channel.get()) : listen(callers, settings.callerAddress());
+    }
+
     private CompletableFuture<Void> listen(CallerServer server, String address) {
         return server.listen(SocketAddresses.parse(address));
     }
@@ -182,10 +200,7 @@
     private void begin() {
         log.lifecycle("start", line -> line.with("availability_zone", settings.availabilityZone())
                 .with("store", settings.storeAddress())
-                .with(
-                        "jvm_uptime_ms",
-                        java.lang.management.ManagementFactory.getRuntimeMXBean()
-                                .getUptime()));
+                .with("starting_ms", (System.nanoTime() - startedAtNanos) / NANOS_PER_MILLI));
         lines.start();
         knowledge.start();
         rollouts.start();
--- a/entry/src/main/java/io/heatherloft/entry/EntryMain.java
+++ b/entry/src/main/java/io/heatherloft/entry/EntryMain.java
@@ -3,8 +3,8 @@
 import io.heatherloft.domain.configuration.ConfigurationFile;
 import io.heatherloft.domain.configuration.Finding;
 import io.heatherloft.platform.PlatformSettings;
+import io.heatherloft.router.log.LineQueue;
 import io.netty.util.internal.logging.InternalLoggerFactory;
-import io.netty.util.internal.logging.JdkLoggerFactory;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -29,19 +29,20 @@
 
     /** Runs a host until SIGTERM. */
     public static void main(String[] arguments) throws InterruptedException {
+        EarlyListener early = EarlyListener.open();
+        LineQueue lines = EntryHost.newLines();
         String path = arguments.length > 0
                 ? arguments[0]
                 : Optional.ofNullable(System.getenv(PlatformSettings.FILE_VARIABLE))
                         .orElse("");
-        // The network library would otherwise set up the logging library before the first connection.
-        InternalLoggerFactory.setDefaultFactory(JdkLoggerFactory.INSTANCE);
-        int code = run(path);
+        InternalLoggerFactory.setDefaultFactory(new NetworkLoggers(lines::offer));
+        int code = run(path, lines, early);
         if (code != 0) {
             System.exit(code);
         }
     }
 
-    private static int run(String path) throws InterruptedException {
+    private static int run(String path, LineQueue lines, EarlyListener early) throws InterruptedException {
         if (path.isEmpty()) {
             System.err.println("heatherloft-entry: " + PlatformSettings.FILE_VARIABLE
                     + " is not set: expected the path of the settings file");
@@ -55,7 +56,7 @@
                 findings.forEach(System.err::println);
                 return EXIT_SETTINGS;
             }
-            serve(settings.get());
+            serve(settings.get(), lines, early);
             return 0;
         } catch (IOException exception) {
             System.err.println("heatherloft-entry: cannot read " + path + ": " + exception.getMessage());
@@ -67,8 +68,9 @@
     }
 
     @SuppressWarnings("ShutdownHook") // The host is the whole process; no container manages its life.
-    private static void serve(PlatformSettings settings) throws InterruptedException {
-        EntryHost host = EntryHost.start(settings, METRICS_PORT);
+    private static void serve(PlatformSettings settings, LineQueue lines, EarlyListener early)
+            throws InterruptedException {
+        EntryHost host = EntryHost.start(settings, lines, early, METRICS_PORT);
         // Without the halt the process would end with the signal's code after an orderly stop.
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
             host.stop().join();
--- /dev/null
+++ b/entry/src/main/java/io/heatherloft/entry/NetworkLoggers.java
@@ -0,0 +1,172 @@
+package io.heatherloft.entry;
+
+import io.netty.util.internal.logging.AbstractInternalLogger;
+import io.netty.util.internal.logging.InternalLogger;
+import io.netty.util.internal.logging.InternalLoggerFactory;
+import java.util.function.Consumer;
+import org.apache.logging.log4j.message.StringMapMessage;
+
+/**
+ * Hands warnings and errors of the network library to the log's queue.
+ *
+ * <p>The library's own bridges set up a logging library before the first connection, which takes a starting host longer
+ * than everything else. Safe for use by several threads if the consumer is.
+ */
+final class NetworkLoggers extends InternalLoggerFactory {
+    private final Consumer<StringMapMessage> lines;
+
+    /** Creates a factory; the consumer takes a line without waiting. */
+    NetworkLoggers(Consumer<StringMapMessage> lines) {
+        this.lines = lines;
+    }
+
+    @Override
+    public InternalLogger newInstance(String name) {
+        return new NetworkLogger(name, lines);
+    }
+
+    /** Writes warnings and errors, and nothing of lower levels. */
+    private static final class NetworkLogger extends AbstractInternalLogger {
+        private static final long serialVersionUID = 1L;
+
+        private final transient Consumer<StringMapMessage> lines;
+
+        NetworkLogger(String name, Consumer<StringMapMessage> lines) {
+            super(name);
+            this.lines = lines;
+        }
+
+        private void write(String level, String message, Object... details) {
+            StringMapMessage line = new StringMapMessage();
+            line.with("kind", "lifecycle");
+            line.with("event", "network_library");
+            line.with("level", level);
+            line.with("logger", name());
+            line.with("message", message);
+            if (details.length > 0) {
+                line.with("details", java.util.Arrays.toString(details));
+            }
+            lines.accept(line);
+        }
+
+        @Override
+        public boolean isTraceEnabled() {
+            return false;
+        }
+
+        @Override
+        public void trace(String _message) {}
+
+        @Override
+        public void trace(String _message, Object _argument) {}
+
+        @Override
+        public void trace(String _message, Object _first, Object _second) {}
+
+        @Override
+        public void trace(String _message, Object... _arguments) {}
+
+        @Override
+        public void trace(String _message, Throwable _cause) {}
+
+        @Override
+        public boolean isDebugEnabled() {
+            return false;
+        }
+
+        @Override
+        public void debug(String _message) {}
+
+        @Override
+        public void debug(String _message, Object _argument) {}
+
+        @Override
+        public void debug(String _message, Object _first, Object _second) {}
+
+        @Override
+        public void debug(String _message, Object... _arguments) {}
+
+        @Override
+        public void debug(String _message, Throwable _cause) {}
+
+        @Override
+        public boolean isInfoEnabled() {
+            return false;
+        }
+
+        @Override
+        public void info(String _message) {}
+
+        @Override
+        public void info(String _message, Object _argument) {}
+
+        @Override
+        public void info(String _message, Object _first, Object _second) {}
+
+        @Override
+        public void info(String _message, Object... _arguments) {}
+
+        @Override
+        public void info(String _message, Throwable _cause) {}
+
+        @Override
+        public boolean isWarnEnabled() {
+            return true;
+        }
+
+        @Override
+        public void warn(String message) {
+            write("warn", message);
+        }
+
+        @Override
+        public void warn(String message, Object argument) {
+            write("warn", message, argument);
+        }
+
+        @Override
+        public void warn(String message, Object first, Object second) {
+            write("warn", message, first, second);
+        }
+
+        @Override
+        public void warn(String message, Object... arguments) {
+            write("warn", message, arguments);
+        }
+
+        @Override
+        public void warn(String message, Throwable cause) {
+            write("warn", message, cause);
+        }
+
+        @Override
+        public boolean isErrorEnabled() {
+            return true;
+        }
+
+        @Override
+        public void error(String message) {
+            write("error", message);
+        }
+
+        @Override
+        public void error(String message, Object argument) {
+            write("error", message, argument);
+        }
+
+        @Override
+        public void error(String message, Object first, Object second) {
+            write("error", message, first, second);
+        }
+
+        @Override
+        public void error(String message, Object... arguments) {
+            write("error", message, arguments);
+        }
+
+        @Override
+        public void error(String message, Throwable cause) {
+            write("error", message, cause);
+        }
+    }
+}
--- a/entry/src/test/java/io/heatherloft/entry/EntryHostTest.java
+++ b/entry/src/test/java/io/heatherloft/entry/EntryHostTest.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import io.heatherloft.ports.http.SocketAddresses;
 import io.heatherloft.router.http.CallerRequest;
 import io.heatherloft.standins.platform.PlatformExample;
 import io.heatherloft.standins.platform.RunnerStandIn;
@@ -363,6 +364,37 @@
         }
     }
 
+    @Nested
+    final class AStart {
+        @Test
+        void answers_callers_that_came_before_the_host_had_started() throws IOException {
+            rig.backend("desk", "d-1", "v1");
+            String address = "127.0.0.1:" + PlatformRig.freePort();
+            EarlyListener early = EarlyListener.at(address);
+            int port = SocketAddresses.parse(address).getPort();
+            try (Socket caller = new Socket(InetAddress.getLoopbackAddress(), port)) {
+                caller.setSoTimeout(20_000);
+                String request = PlatformExample.plainRequest("GET", "/lookups/x", "r1", PlatformRig.KEY);
+                caller.getOutputStream().write(request.getBytes(StandardCharsets.UTF_8));
+                EntryHost host = rig.startHost("h-1", PlatformRig.freePort(), List.of(), address, early);
+                String status = new String(caller.getInputStream().readNBytes(12), StandardCharsets.UTF_8);
+                assertThat(status).isEqualTo("HTTP/1.1 200");
+                assertThat(host.callerPort()).isEqualTo(port);
+            }
+        }
+
+        @Test
+        void listens_where_the_settings_say_if_the_early_address_is_another() {
+            rig.backend("desk", "d-1", "v1");
+            int other = PlatformRig.freePort();
+            EarlyListener early = EarlyListener.at("127.0.0.1:" + other);
+            EntryHost host = rig.startHost("h-1", PlatformRig.freePort(), List.of(), "127.0.0.1:0", early);
+            rig.await(() -> rig.ready(host));
+            assertThat(rig.plain(host, "GET", "/lookups/x", "r1")).startsWith("HTTP/1.1 200");
+            assertThat(rig.get(other, "/lookups/x")).startsWith("connection failed");
+        }
+    }
+
     @Nested
     final class AStop {
         @Test
--- a/entry/src/test/java/io/heatherloft/entry/PlatformRig.java
+++ b/entry/src/test/java/io/heatherloft/entry/PlatformRig.java
@@ -79,11 +79,15 @@
     }
 
     EntryHost startHost(String name, int peerPort, List<Integer> seedPorts) {
+        return startHost(name, peerPort, seedPorts, "127.0.0.1:0", EarlyListener.none());
+    }
+
+    EntryHost startHost(String name, int peerPort, List<Integer> seedPorts, String callerAddress, EarlyListener early) {
         PlatformSettings settings = new PlatformSettings(
                 name,
                 "127.0.0.1",
                 "a",
-                "127.0.0.1:0",
+                callerAddress,
                 "127.0.0.1:0",
                 Optional.of("127.0.0.1:" + peerPort),
                 seedPorts.stream().map(port -> "127.0.0.1:" + port).toList(),
@@ -93,7 +97,7 @@
                 0.9,
                 52,
                 10_000L);
-        EntryHost host = EntryHost.start(settings, 0);
+        EntryHost host = EntryHost.start(settings, EntryHost.newLines(), early, 0);
         hosts.add(host);
         return host;
     }
--- a/router/src/main/java/io/heatherloft/router/http/CallerServer.java
+++ b/router/src/main/java/io/heatherloft/router/http/CallerServer.java
@@ -15,6 +15,7 @@
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpServerCodec;
 import java.net.InetSocketAddress;
+import java.nio.channels.ServerSocketChannel;
 import java.util.Collections;
 import java.util.IdentityHashMap;
 import java.util.List;
@@ -29,7 +30,9 @@
  * <p>Invariant: every open connection is in {@code connections}. Confined to the loop's thread.
  */
 public final class CallerServer {
-    private static final int BACKLOG = 1_024;
+    /** Connections that the system accepts before this process does. */
+    public static final int BACKLOG = 1_024;
+
     private static final int MAX_REQUEST_LINE_BYTES = 8_192;
     private static final int MAX_CHUNK_BYTES = 65_536;
 
@@ -62,16 +65,30 @@
         this.rejectedStatus = rejectedStatus;
     }
 
-    /** Starts to listen. */
+    /** Starts to listen at an address. */
     public CompletableFuture<Void> listen(InetSocketAddress address) {
-        ChannelFuture binding = new ServerBootstrap()
-                .group(group)
+        return whenListening(bootstrap()
                 .channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_BACKLOG, BACKLOG)
                 .option(ChannelOption.SO_REUSEADDR, true)
+                .bind(address));
+    }
+
+    /** Serves the connections of a channel that listens already. */
+    public CompletableFuture<Void> listen(ServerSocketChannel bound) {
+        return whenListening(bootstrap()
+                .channelFactory(() -> new NioServerSocketChannel(bound))
+                .register());
+    }
+
+    private ServerBootstrap bootstrap() {
+        return new ServerBootstrap()
+                .group(group)
                 .childOption(ChannelOption.TCP_NODELAY, true)
-                .childHandler(new Initializer())
-                .bind(address);
+                .childHandler(new Initializer());
+    }
+
+    private CompletableFuture<Void> whenListening(ChannelFuture binding) {
         CompletableFuture<Void> bound = new CompletableFuture<>();
         binding.addListener(_done -> {
             if (binding.isSuccess()) {
