explain and timeline read the hosts' logs

Cause: on call, a request's lines and what its host knew then had to be put together with grep. Tests: LogCommandsTest (five cases).

--- a/cli/src/main/java/io/heatherloft/cli/CommandLine.java
+++ b/cli/src/main/java/io/heatherloft/cli/CommandLine.java
@@ -1,13 +1,19 @@
 package io.heatherloft.cli;
 
+import io.heatherloft.cli.logs.FleetTimeline;
+import io.heatherloft.cli.logs.LogOutput;
+import io.heatherloft.cli.logs.LogReader;
+import io.heatherloft.cli.logs.RequestStory;
 import java.io.PrintStream;
 import java.nio.file.Path;
 import java.util.Arrays;
+import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.stream.Collectors;
 import net.sourceforge.argparse4j.ArgumentParsers;
 import net.sourceforge.argparse4j.helper.HelpScreenException;
+import net.sourceforge.argparse4j.inf.Argument;
 import net.sourceforge.argparse4j.inf.ArgumentParser;
 import net.sourceforge.argparse4j.inf.ArgumentParserException;
 import net.sourceforge.argparse4j.inf.Namespace;
@@ -58,11 +64,43 @@
             output.validated(FileSet.read(Path.of(parsed.getString("directory"))));
             return;
         }
+        List<Path> logs = logsOf(parsed);
+        if (!logs.isEmpty()) {
+            readLogs(command, parsed, logs);
+            return;
+        }
         try (PlatformSession session = PlatformSession.open(parsed.getString("store"))) {
             carryOut(command, parsed, new Commands(session), output);
         }
     }
 
+    private static List<Path> logsOf(Namespace parsed) {
+        List<String> files = parsed.getList("logs");
+        return files == null ? List.of() : files.stream().map(Path::of).toList();
+    }
+
+    private void readLogs(String command, Namespace parsed, List<Path> logs) {
+        LogReader reader = new LogReader(err);
+        LogOutput output = new LogOutput(out, parsed.getString("output").equals("json"));
+        if (command.equals("timeline")) {
+            FleetTimeline timeline = new FleetTimeline();
+            reader.read(logs, timeline::accept);
+            output.timeline(timeline);
+            return;
+        }
+        String requestId = parsed.getString("request");
+        RequestStory story = new RequestStory(requestId);
+        reader.read(logs, story::accept);
+        if (story.steps().isEmpty()) {
+            throw new CommandFailure(
+                    ExitCode.NOT_FOUND,
+                    requestId + ": no line of this request in " + logs.size() + " files; hosts left out "
+                            + reader.linesDroppedByHosts() + " lines and " + reader.badLines()
+                            + " could not be read");
+        }
+        output.story(requestId, story);
+    }
+
     private static void carryOut(String command, Namespace parsed, Commands commands, Output output) {
         switch (command) {
             case "diff" -> output.diff(commands.diff(Path.of(parsed.getString("directory"))));
@@ -123,9 +161,16 @@
         commands.addParser("audit").help("show who changed what, and when");
         Subparser explain = commands.addParser("explain").help("tell what was decided for a request, and why");
         explain.addArgument("request").metavar("REQUEST-ID").help("value of the answer's Heatherloft-Request header");
+        withLogs(explain).help("log files of the hosts, to read instead of asking one");
+        Subparser timeline = commands.addParser("timeline").help("tell from logs what the hosts knew, and since when");
+        withLogs(timeline).required(true).help("log files of the hosts; each host's lines in their order");
         return parser;
     }
 
+    private static Argument withLogs(Subparser command) {
+        return command.addArgument("--logs").nargs("+").metavar("FILE");
+    }
+
     private static Subparser withDirectory(Subparser command) {
         command.addArgument("directory").metavar("DIRECTORY").help("directory with .yaml files");
         return command;
--- /dev/null
+++ b/cli/src/main/java/io/heatherloft/cli/logs/LogReader.java
@@ -0,0 +1,86 @@
+package io.heatherloft.cli.logs;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import io.heatherloft.cli.CommandFailure;
+import io.heatherloft.cli.ExitCode;
+import io.heatherloft.ports.http.JsonHttp;
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Consumer;
+
+/**
+ * Reads log files line by line, whatever their size.
+ *
+ * <p>What a collector puts before the JSON object of a line is skipped. Invariant: holds one line at a time. Confined to
+ * one thread.
+ */
+public final class LogReader {
+    private static final int LINES_PER_NOTE = 1_000_000;
+
+    private final PrintStream notes;
+    private long linesDroppedByHosts;
+    private long badLines;
+
+    /** Creates a reader that tells its progress, and each line that it cannot read, on a stream. */
+    public LogReader(PrintStream notes) {
+        this.notes = notes;
+    }
+
+    /**
+     * Hands on the lines of files, file after file.
+     *
+     * @throws CommandFailure if a file cannot be read
+     */
+    public void read(List<Path> files, Consumer<LogLine> consumer) {
+        files.forEach(file -> read(file, consumer));
+    }
+
+    private void read(Path file, Consumer<LogLine> consumer) {
+        try (BufferedReader reader = Files.newBufferedReader(file)) {
+            long number = 0;
+            String text = reader.readLine();
+            while (text != null) {
+                number++;
+                parse(file, number, text).ifPresent(consumer);
+                if (number % LINES_PER_NOTE == 0) {
+                    notes.println(file + ": " + number + " lines read");
+                }
+                text = reader.readLine();
+            }
+        } catch (IOException | UncheckedIOException exception) {
+            throw new CommandFailure(ExitCode.USAGE, file + ": cannot be read: " + exception.getMessage());
+        }
+    }
+
+    private Optional<LogLine> parse(Path file, long number, String text) {
+        int start = text.indexOf('{');
+        if (start < 0) {
+            return Optional.empty();
+        }
+        try {
+            LogLine line = new LogLine(JsonHttp.MAPPER.readTree(text.substring(start)));
+            linesDroppedByHosts += line.fields().path("lines_dropped_before").asLong();
+            return Optional.of(line);
+        } catch (JsonProcessingException exception) {
+            badLines++;
+            notes.println(file + ":" + number + ": expected a JSON object: " + exception.getOriginalMessage());
+            return Optional.empty();
+        }
+    }
+
+    /** Returns the lines that hosts left out for want of room, as the lines read so far tell. */
+    public long linesDroppedByHosts() {
+        return linesDroppedByHosts;
+    }
+
+    /** Returns the number of lines that could not be read. */
+    public long badLines() {
+        return badLines;
+    }
+}
--- /dev/null
+++ b/cli/src/test/java/io/heatherloft/cli/logs/LogCommandsTest.java
@@ -0,0 +1,116 @@
+package io.heatherloft.cli.logs;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.heatherloft.cli.CommandLine;
+import io.heatherloft.cli.ExitCode;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+final class LogCommandsTest {
+    private static final String FIRST_HOST =
+            """
+            {"time_ms":1000,"host":"h-1","kind":"lifecycle","event":"start"}
+            {"time_ms":1100,"host":"h-1","kind":"belief","event":"configuration","version":3,"revision":7,"outcome":"in_force"}
+            {"time_ms":1200,"host":"h-1","kind":"belief","event":"backend_server","backend_id":"i-1","revision":5,"outcome":"ready"}
+            {"time_ms":1300,"host":"h-1","kind":"belief","event":"backend_server","backend_id":"i-2","revision":6,"outcome":"ready"}
+            {"time_ms":2000,"host":"h-1","kind":"request","event":"dispatch","request_id":"r1","backend_id":"i-1","send":1,"outcome":"sent"}
+            {"time_ms":2001,"host":"h-1","kind":"request","event":"dispatch","request_id":"r2","backend_id":"i-2","send":1,"outcome":"sent"}
+            collector restarted
+            {"time_ms":2500,"host":"h-1","kind":"belief","event":"configuration","version":4,"revision":9,"outcome":"in_force"}
+            12.5 h-1 {"time_ms":2600,"host":"h-1","kind":"request","event":"ended","request_id":"r1","configuration_revision":9,"status":504,"outcome":"TIMED_OUT"}
+            {"time_ms":2700,"host":"h-1","kind":"req
+            {"time_ms":9000,"host":"h-1","kind":"lifecycle","event":"stop","lines_dropped_before":4}
+            """;
+    private static final String OTHER_HOST =
+            """
+            {"time_ms":900,"host":"h-2","kind":"lifecycle","event":"start"}
+            {"time_ms":1150,"host":"h-2","kind":"belief","event":"configuration","version":3,"revision":7,"outcome":"in_force"}
+            {"time_ms":9000,"host":"h-2","kind":"lifecycle","event":"stop"}
+            """;
+
+    @TempDir
+    Path directory;
+
+    private Path first;
+    private Path other;
+    private final ByteArrayOutputStream out = new ByteArrayOutputStream();
+    private final ByteArrayOutputStream err = new ByteArrayOutputStream();
+
+    @BeforeEach
+    void write() throws IOException {
+        first = Files.writeString(directory.resolve("h-1.log"), FIRST_HOST);
+        other = Files.writeString(directory.resolve("h-2.log"), OTHER_HOST);
+    }
+
+    private ExitCode run(String... arguments) {
+        return new CommandLine(
+                        new PrintStream(out, true, StandardCharsets.UTF_8),
+                        new PrintStream(err, true, StandardCharsets.UTF_8))
+                .run(arguments);
+    }
+
+    private String printed() {
+        return out.toString(StandardCharsets.UTF_8);
+    }
+
+    @Nested
+    final class Explain {
+        @Test
+        void tells_each_decision_with_what_the_host_knew_then() {
+            assertThat(run("explain", "r1", "--logs", first.toString(), other.toString()))
+                    .isEqualTo(ExitCode.OK);
+            assertThat(printed())
+                    .isEqualTo(
+                            """
+                    request r1 from 1970-01-01T00:00:02Z
+                      +0 ms      h-1 dispatch: backend_id i-1, send 1, outcome sent
+                        knew, 800 ms old: h-1 backend_server: backend_id i-1, revision 5, outcome ready
+                      +600 ms    h-1 ended: configuration_revision 9, status 504, outcome TIMED_OUT
+                        knew, 100 ms old: h-1 configuration: version 4, revision 9, outcome in_force
+                    outcome: TIMED_OUT, status 504
+                    """);
+        }
+
+        @Test
+        void names_a_line_that_it_cannot_read_by_file_and_number() {
+            run("explain", "r1", "--logs", first.toString());
+            assertThat(err.toString(StandardCharsets.UTF_8)).contains(first + ":10: expected a JSON object");
+        }
+
+        @Test
+        void says_how_many_lines_are_missing_when_it_finds_none() {
+            assertThat(run("explain", "r9", "--logs", first.toString())).isEqualTo(ExitCode.NOT_FOUND);
+            assertThat(err.toString(StandardCharsets.UTF_8))
+                    .contains("r9: no line of this request in 1 files; hosts left out 4 lines and 1 could not be read");
+        }
+
+        @Test
+        void gives_json_on_demand() {
+            run("--output", "json", "explain", "r2", "--logs", first.toString());
+            assertThat(printed()).startsWith("{\"request_id\":\"r2\",\"steps\":[{\"decision\":{");
+            assertThat(printed()).contains("\"known\":[{\"time_ms\":1300");
+        }
+    }
+
+    @Nested
+    final class Timeline {
+        @Test
+        void tells_each_change_once_and_who_never_learned_of_it() {
+            assertThat(run("timeline", "--logs", first.toString(), other.toString()))
+                    .isEqualTo(ExitCode.OK);
+            assertThat(printed())
+                    .contains("configuration (2 hosts in 50 ms): version 3, revision 7, outcome in_force\n");
+            assertThat(printed())
+                    .contains("configuration (h-1): version 4, revision 9, outcome in_force\n    never known to h-2\n");
+        }
+    }
+}
