A request that failed twice on one version runs on another; sessions are pinned from their last answer on

Change: TriedServers doubts a version after its second failure of one request; a session is recorded at the end of a request as well. Open: a session whose next request comes to a host that does not know it. Before: both new cases of EntryHostTest fail (500; one request on the target). After: they pass.

--- a/entry/src/test/java/io/heatherloft/entry/EntryHostTest.java
+++ b/entry/src/test/java/io/heatherloft/entry/EntryHostTest.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import io.heatherloft.domain.StableHash;
 import io.heatherloft.ports.http.SocketAddresses;
 import io.heatherloft.router.http.CallerRequest;
 import io.heatherloft.standins.platform.PlatformExample;
@@ -14,6 +15,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ForkJoinPool;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import java.util.stream.IntStream;
@@ -353,6 +355,54 @@
             assertThat(receivedInAll(bad)).isEqualTo(before);
         }
 
+        @Test
+        void of_a_bad_version_fails_no_request_that_the_version_before_can_answer() {
+            rig.backend("llm", "i-1", "v1");
+            List<RunnerStandIn> bad = List.of(rig.backend("llm", "i-2", "v2"), rig.backend("llm", "i-3", "v2"));
+            EntryHost host = loneHost();
+            rig.onLoop(() -> bad.forEach(server -> IntStream.range(0, 500).forEach(_index -> server.next(Act.FAIL))));
+            order(3.0);
+            int[] sent = new int[1];
+            rig.await(() -> {
+                sent[0]++;
+                assertThat(rig.stream(host, "r" + sent[0])).startsWith("HTTP/1.1 200");
+                return state().contains("\"reverted\"");
+            });
+        }
+
+        @Test
+        void on_trial_leaves_a_session_alone_whose_last_request_took_longer_than_its_idle_time() {
+            rig.sessionMillis = 300L;
+            RunnerStandIn before = rig.backend("llm", "i-1", "v1");
+            RunnerStandIn target = rig.backend("llm", "i-2", "v2");
+            EntryHost host = loneHost();
+            String session = IntStream.range(0, 1_000)
+                    .mapToObj(index -> "session-" + index)
+                    .filter(name -> StableHash.toUnit(StableHash.of("llm/v2", name)) < 0.05)
+                    .findFirst()
+                    .orElseThrow();
+            rig.onLoop(() -> {
+                before.next(Act.DELAY);
+                target.next(Act.DELAY);
+            });
+            CompletableFuture<String> first =
+                    CompletableFuture.supplyAsync(() -> streamOf(host, session, "r1"), ForkJoinPool.commonPool());
+            rig.await(() -> receivedInAll(before, target) == 1);
+            int onTarget = receivedInAll(target);
+            order(5.0);
+            assertThat(first.join()).startsWith("HTTP/1.1 200");
+            assertThat(streamOf(host, session, "r2")).startsWith("HTTP/1.1 200");
+            assertThat(onTarget).isEqualTo(0);
+            assertThat(receivedInAll(target)).isEqualTo(0);
+        }
+
+        private String streamOf(EntryHost host, String session, String id) {
+            return PlatformRig.exchange(
+                    host.callerPort(),
+                    PlatformRig.closing(PlatformExample.streamRequest(id, PlatformRig.KEY)
+                            .replace("Session: s1", "Session: " + session)));
+        }
+
         @Test
         void is_written_once_though_the_stores_answers_are_lost() {
             rig.backend("llm", "i-1", "v1");
--- a/entry/src/test/java/io/heatherloft/entry/PlatformRig.java
+++ b/entry/src/test/java/io/heatherloft/entry/PlatformRig.java
@@ -44,6 +44,7 @@
     private final Map<String, RunnerStandIn> backends = new LinkedHashMap<>();
     private final Map<String, Integer> backendPorts = new LinkedHashMap<>();
     private final int storePort;
+    long sessionMillis = 5_000L;
 
     PlatformRig() {
         store = new StoreStandIn(loop);
@@ -93,7 +94,7 @@
                 seedPorts.stream().map(port -> "127.0.0.1:" + port).toList(),
                 "127.0.0.1:" + storePort,
                 8_000L,
-                5_000L,
+                sessionMillis,
                 0.9,
                 52,
                 10_000L);
--- a/router/src/main/java/io/heatherloft/router/request/BackendChooser.java
+++ b/router/src/main/java/io/heatherloft/router/request/BackendChooser.java
@@ -40,9 +40,9 @@
     /**
      * Returns the server for an attempt; empty if none is in use.
      *
-     * @param tried identities of servers that failed the request; they are chosen only if there is no other
+     * @param tried servers without success; they, and a version in doubt, are chosen only if there is no other
      */
-    Optional<BackendServerState> choose(String service, RequestFacts facts, Set<String> tried) {
+    Optional<BackendServerState> choose(String service, RequestFacts facts, TriedServers tried) {
         long now = loop.nowMillis();
         List<BackendServerState> ready = registry.ready(service);
         Set<String> present =
@@ -50,7 +50,9 @@
         List<String> preferences = versions.of(service)
                 .preferences(facts.session(), facts.attemptId().orElse(""), present, now);
         List<BackendServerState> allowed = preferences.stream()
+                .filter(version -> !tried.isInDoubt(version))
                 .findFirst()
+                .or(() -> preferences.stream().findFirst())
                 .map(version -> ready.stream()
                         .filter(server -> server.entry().version().equals(version))
                         .toList())
--- a/router/src/main/java/io/heatherloft/router/request/RequestExecution.java
+++ b/router/src/main/java/io/heatherloft/router/request/RequestExecution.java
@@ -10,10 +10,8 @@
 import io.heatherloft.router.http.CallerRequest;
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpHeaders;
-import java.util.HashSet;
 import java.util.Optional;
 import java.util.OptionalInt;
-import java.util.Set;
 import java.util.function.Predicate;
 
 /**
@@ -39,7 +37,7 @@
     private final Optional<KeyHolder> holder;
     private final String service;
     private final long endMillis;
-    private final Set<String> triedBackends = new HashSet<>();
+    private final TriedServers tried = new TriedServers();
     private final EventRelay relay;
     private final ModelChoice models;
     private final CrashGuard crashGuard;
@@ -114,19 +112,13 @@
             giveUp(RefusalReason.CRASHES_SERVERS);
             return;
         }
-        Optional<BackendServerState> chosen = engine.chooser().choose(service, facts, triedBackends);
+        Optional<BackendServerState> chosen = engine.chooser().choose(service, facts, tried);
         if (chosen.isEmpty()) {
             giveUp(RefusalReason.NO_BACKEND);
             return;
         }
         BackendServerState server = chosen.get();
-        facts.session().ifPresent(session -> engine.versions()
-                .sessions()
-                .record(
-                        service,
-                        session,
-                        server.entry().version(),
-                        engine.loop().nowMillis()));
+        recordSession(server);
         long unreadTokens = unreadTokens(server);
         facts.sharedPrompt().ifPresent(part -> server.rememberPrefix(part, facts.sharedTokens()));
         sends++;
@@ -143,6 +135,17 @@
                 relay.lastId()));
     }
 
+    // A session goes on from the end of its last request, so that is recorded as well as the dispatch.
+    private void recordSession(BackendServerState server) {
+        facts.session().ifPresent(session -> engine.versions()
+                .sessions()
+                .record(
+                        service,
+                        session,
+                        server.entry().version(),
+                        engine.loop().nowMillis()));
+    }
+
     private long unreadTokens(BackendServerState server) {
         boolean cached = facts.sharedPrompt().map(server::remembersPrefix).orElse(false);
         return Math.max(0, facts.promptTokens() - (cached ? facts.sharedTokens() : 0));
@@ -183,7 +186,7 @@
     /** The attempt's server has stated that it has not run the request and will not. */
     void onNotRun(Attempt ending, String reason) {
         if (isCurrent(ending)) {
-            triedBackends.add(ending.server().entry().id());
+            tried.add(ending.server().entry());
             if (mayRetry(reason)) {
                 dispatch();
             } else {
@@ -197,7 +200,7 @@
         if (!isCurrent(ending)) {
             return;
         }
-        triedBackends.add(ending.server().entry().id());
+        tried.add(ending.server().entry());
         if (failure.kind() == ExchangeFailure.Kind.NOT_SENT) {
             crashGuard.onUnreachable(ending.server());
             sends--;
@@ -228,7 +231,7 @@
         if (!isCurrent(silent) || !mayRetry("silence")) {
             return false;
         }
-        triedBackends.add(silent.server().entry().id());
+        tried.add(silent.server().entry());
         mayHaveRun = true;
         relay.discardPartial();
         silent.cancel();
@@ -246,7 +249,7 @@
         crashGuard.onAnswered();
         boolean failed = status >= 500;
         if (failed) {
-            triedBackends.add(ending.server().entry().id());
+            tried.addFailure(ending.server().entry());
         }
         if (failed && route.repeatPolicy().mayRepeat() && mayRetry("status " + status)) {
             body.release();
@@ -350,6 +353,9 @@
     private void finish(String outcome, int status) {
         ended = true;
         endTimer.cancel();
+        if (attempt != null) {
+            recordSession(attempt.server());
+        }
         engine.onEnded();
         long elapsedMillis = engine.loop().nowMillis() - request.arrivedAtMillis();
         engine.metrics().counter("requests_total." + outcome).inc();
--- /dev/null
+++ b/router/src/main/java/io/heatherloft/router/request/TriedServers.java
@@ -0,0 +1,41 @@
+package io.heatherloft.router.request;
+
+import io.heatherloft.domain.route.BackendEntry;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * The backend servers that one request has been sent to without success.
+ *
+ * <p>Confined to the loop's thread.
+ */
+final class TriedServers {
+    // One failure is usual on a sound version; after the second the version itself is in doubt.
+    private static final int FAILURES_OF_A_VERSION = 2;
+
+    private final Set<String> ids = new HashSet<>();
+    private final Map<String, Integer> failuresByVersion = new HashMap<>();
+
+    /** A server did not answer the request. */
+    void add(BackendEntry server) {
+        ids.add(server.id());
+    }
+
+    /** A server answered the request with a failure of its own. */
+    void addFailure(BackendEntry server) {
+        add(server);
+        failuresByVersion.merge(server.version(), 1, Integer::sum);
+    }
+
+    /** Returns true if the request was sent to a server without success. */
+    boolean contains(String serverId) {
+        return ids.contains(serverId);
+    }
+
+    /** Returns true if another version should run the request, if there is one that may. */
+    boolean isInDoubt(String version) {
+        return failuresByVersion.getOrDefault(version, 0) >= FAILURES_OF_A_VERSION;
+    }
+}
--- a/standins/src/main/java/io/heatherloft/standins/platform/RunnerStandIn.java
+++ b/standins/src/main/java/io/heatherloft/standins/platform/RunnerStandIn.java
@@ -25,6 +25,8 @@
     private static final int UNAVAILABLE = 503;
     private static final int SERVER_ERROR = 500;
 
+    private static final long DELAY_MILLIS = 450L;
+
     private final Loop loop;
     private String id;
     private final int events;
@@ -56,6 +58,8 @@
         LOSE_ANSWER,
         /** Sends half of the events and closes the connection. */
         BREAK_STREAM,
+        /** Answers it after half a second. */
+        DELAY,
         /** Sends nothing. */
         SILENCE,
         /** Answers with the identity of another request. */
@@ -104,7 +108,12 @@
             @Override
             public void onWritabilityChanged() {}
         });
-        act(request, exchange, acts.isEmpty() ? Act.ANSWER : acts.poll());
+        Act act = acts.isEmpty() ? Act.ANSWER : acts.poll();
+        if (act == Act.DELAY) {
+            loop.schedule(DELAY_MILLIS, () -> act(request, exchange, act));
+        } else {
+            act(request, exchange, act);
+        }
     }
 
     private void act(CallerRequest request, CallerExchange exchange, Act act) {
