A new host that knows others starts with half of its part of the retry allowance

Change: two only while a host knows no other. RetryBudgetsTest keeps the window after a restart of all.

--- a/router/src/main/java/io/heatherloft/router/request/RetryBudgets.java
+++ b/router/src/main/java/io/heatherloft/router/request/RetryBudgets.java
@@ -12,8 +12,8 @@
  * what hosts grant that start anew. Confined to the loop's thread.
  */
 final class RetryBudgets {
-    // Retries that a host may save up however many share the allowance; it starts with these, since it does not know
-    // yet how many do.
+    // Retries that a host may save up however many share the allowance; it starts with these while it knows no other
+    // host, and with half of its part otherwise.
     private static final double LEAST_ALLOWANCE = 2;
 
     private final double ratio;
@@ -35,8 +35,11 @@
     }
 
     RetryBudget of(String service) {
-        RetryBudget budget = byService.computeIfAbsent(service, _name -> new RetryBudget(ratio, LEAST_ALLOWANCE));
-        budget.limitTo(Math.max(LEAST_ALLOWANCE, allowance / hostCount.getAsInt()));
+        int hosts = hostCount.getAsInt();
+        double share = Math.max(LEAST_ALLOWANCE, allowance / hosts);
+        double first = hosts == 1 ? LEAST_ALLOWANCE : Math.max(LEAST_ALLOWANCE, share / 2);
+        RetryBudget budget = byService.computeIfAbsent(service, _name -> new RetryBudget(ratio, first));
+        budget.limitTo(share);
         return budget;
     }
 }
