--- a/cli/src/main/java/io/heatherloft/cli/logs/FleetTimeline.java
+++ b/cli/src/main/java/io/heatherloft/cli/logs/FleetTimeline.java
@@ -17,6 +17,10 @@
  * Invariant: memory grows with the changes and the hosts, not with the lines. Confined to one thread.
  */
 public final class FleetTimeline {
+    // What every host learns; other lines tell what one host did or decided.
+    private static final Set<String> FLEET_EVENTS =
+            Set.of("configuration", "backend_server", "rollout_order", "rollout_state");
+
     private final Map<String, Change> changes = new LinkedHashMap<>();
     private final Map<String, Long> lastLineMillis = new HashMap<>();
     private final Map<String, Long> firstLineMillis = new HashMap<>();
@@ -45,13 +49,10 @@
     public void accept(LogLine line) {
         firstLineMillis.merge(line.host(), line.timeMillis(), Math::min);
         lastLineMillis.merge(line.host(), line.timeMillis(), Math::max);
-        boolean ofFleet = line.kind().equals("belief")
-                && line.fields().has("revision")
-                && !line.event().equals("learned_from_host");
-        if (!ofFleet && !line.kind().equals("lifecycle") && !line.kind().equals("belief")) {
+        if (!line.kind().equals("lifecycle") && !line.kind().equals("belief")) {
             return;
         }
-        String key = ofFleet
+        String key = concernsAllHosts(line)
                 ? line.subject() + ' ' + line.text("revision") + ' ' + line.text("outcome")
                 : line.host() + ' ' + line.timeMillis() + ' ' + line.subject();
         changes.computeIfAbsent(key, _key -> new Change(line, new TreeMap<>()))
@@ -59,6 +60,10 @@
                 .merge(line.host(), line.timeMillis(), Math::min);
     }
 
+    private static boolean concernsAllHosts(LogLine line) {
+        return FLEET_EVENTS.contains(line.event()) && line.fields().has("revision");
+    }
+
     /** Returns the changes in the order in which the first hosts learned of them. */
     public List<Change> changes() {
         return changes.values().stream()
@@ -69,7 +74,7 @@
     /** Returns the hosts that wrote lines before and after a change of the fleet and none about it. */
     public Set<String> unaware(Change change) {
         Set<String> hosts = new TreeSet<>();
-        if (change.line().kind().equals("belief") && change.line().fields().has("revision")) {
+        if (concernsAllHosts(change.line())) {
             lastLineMillis.keySet().stream()
                     .filter(host -> !change.learnedMillis().containsKey(host))
                     .filter(host -> firstLineMillis.get(host) < change.firstMillis())
--- a/entry/src/main/java/io/heatherloft/entry/EntryHost.java
+++ b/entry/src/main/java/io/heatherloft/entry/EntryHost.java
@@ -91,8 +91,8 @@
         BackendRegistry registry = new BackendRegistry(loop, log);
         VersionPolicies versions = new VersionPolicies(loop, new SessionVersions(settings.sessionMillis()));
         this.knowledge = new FleetKnowledge(loop, store, formats, registry, versions, log, metrics);
-        this.rollouts = new RolloutDriver(loop, store, formats, versions, log);
         HostReports reports = new HostReports(loop, settings.hostName());
+        this.rollouts = new RolloutDriver(loop, store, formats, versions, log, reports::hostCount, new Random());
         this.peerNetwork = new NettyPeerNetwork(group, loop, traffic);
         this.spreader = new KnowledgeSpreader(
                 loop,
--- a/router/src/main/java/io/heatherloft/router/fleet/RolloutDriver.java
+++ b/router/src/main/java/io/heatherloft/router/fleet/RolloutDriver.java
@@ -13,7 +13,9 @@
 import java.util.HashSet;
 import java.util.Map;
 import java.util.OptionalLong;
+import java.util.Random;
 import java.util.Set;
+import java.util.function.IntSupplier;
 
 /**
  * Judges the versions of roll-outs and writes the states that operators read.
@@ -23,25 +25,43 @@
  */
 public final class RolloutDriver {
     private static final long TICK_MILLIS = 200L;
+    // Hosts that want to write the same thing wait for a random part of this for each host: the first one's write then
+    // reaches most of the others, at some 30 ms, before their turn.
+    private static final int TURN_MILLIS_PER_HOST = 8;
 
     private final Loop loop;
     private final KeyValueStore store;
     private final StoredFormats formats;
     private final VersionPolicies versions;
     private final DecisionLog log;
+    private final IntSupplier hostCount;
+    private final Random random;
+    private final Map<String, Turn> turns = new HashMap<>();
     private final Set<String> writing = new HashSet<>();
     private final Set<String> recording = new HashSet<>();
     private final Map<String, Long> pauseUntilMillis = new HashMap<>();
     private Loop.Cancellation ticking = () -> {};
 
-    /** Creates a driver that does nothing before {@link #start}. */
+    /**
+     * Creates a driver that does nothing before {@link #start}.
+     *
+     * @param hostCount hosts that drive the same roll-outs, as far as known
+     */
     public RolloutDriver(
-            Loop loop, KeyValueStore store, StoredFormats formats, VersionPolicies versions, DecisionLog log) {
+            Loop loop,
+            KeyValueStore store,
+            StoredFormats formats,
+            VersionPolicies versions,
+            DecisionLog log,
+            IntSupplier hostCount,
+            Random random) {
         this.loop = loop;
         this.store = store;
         this.formats = formats;
         this.versions = versions;
         this.log = log;
+        this.hostCount = hostCount;
+        this.random = random;
     }
 
     /** Starts to drive roll-outs. */
@@ -84,10 +104,10 @@
         boolean needed = rollout.decided().isEmpty()
                 && RolloutPlan.needsRecord(
                         elapsed, rollout.recordedMillis(), rollout.order().durationMillis());
-        if (!needed || !recording.add(service)) {
+        String key = formats.rolloutProgressPrefix() + service;
+        if (!needed || !isTurn(key, String.valueOf(policy.progressKeyRevision())) || !recording.add(service)) {
             return;
         }
-        String key = formats.rolloutProgressPrefix() + service;
         RolloutProgress progress = new RolloutProgress(rollout.orderRevision(), elapsed);
         Futures.onComplete(
                 store.putIfRevision(
@@ -120,10 +140,11 @@
     private void write(VersionPolicy policy, VersionPolicy.Rollout rollout, RolloutState.Phase phase) {
         String service = rollout.order().service();
         long now = loop.nowMillis();
-        if (pauseUntilMillis.getOrDefault(service, 0L) > now || !writing.add(service)) {
+        String key = formats.rolloutStatePrefix() + service;
+        String purpose = rollout.orderRevision() + phase.name();
+        if (pauseUntilMillis.getOrDefault(service, 0L) > now || !isTurn(key, purpose) || !writing.add(service)) {
             return;
         }
-        String key = formats.rolloutStatePrefix() + service;
         RolloutState state = new RolloutState(service, rollout.order().target(), phase);
         long expected = policy.stateKeyRevision().orElse(KeyValueStore.ABSENT);
         Futures.onComplete(
@@ -141,6 +162,21 @@
                 });
     }
 
+    private boolean isTurn(String key, String purpose) {
+        long now = loop.nowMillis();
+        Turn turn = turns.get(key);
+        if (turn == null || !turn.purpose().equals(purpose)) {
+            int spreadMillis = TURN_MILLIS_PER_HOST * (hostCount.getAsInt() - 1);
+            turn = new Turn(purpose, now + (spreadMillis > 0 ? random.nextInt(spreadMillis) : 0));
+            turns.put(key, turn);
+            loop.schedule(turn.atMillis() - now, this::tick);
+        }
+        return now >= turn.atMillis();
+    }
+
+    /** When this host may write a key, unless another host has done so by then. */
+    private record Turn(String purpose, long atMillis) {}
+
     private static String reasonOf(WriteOutcome outcome, Throwable failure) {
         return failure == null ? String.valueOf(outcome) : String.valueOf(failure.getMessage());
     }
