A fault soak of entry hosts as processes

Change: module soak. Three hosts as processes, stand-ins of the store and of five backend servers behind loopback links that delay, cut one way, silence or reset; hosts are killed, frozen, terminated and hung up; the store refuses, falls silent, loses answers, forgets its history; servers lose, break and swap answers, leave and return.

--- /dev/null
+++ b/soak/src/main/java/io/heatherloft/soak/FaultyLink.java
@@ -0,0 +1,152 @@
+package io.heatherloft.soak;
+
+import io.heatherloft.ports.loop.Loop;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.util.ReferenceCountUtil;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * A loopback proxy before one address, which delays, cuts, silences or resets what passes.
+ *
+ * <p>Confined to the loop's thread, but for its creation.
+ */
+final class FaultyLink {
+    private static final long DELAY_MILLIS = 80L;
+
+    private final Loop loop;
+    private final EventLoopGroup group;
+    private final int targetPort;
+    private final Channel listening;
+    private final List<Channel> channels = new ArrayList<>();
+    private Fault fault = Fault.NONE;
+
+    /** What happens to the bytes. */
+    enum Fault {
+        /** They pass. */
+        NONE,
+        /** They pass late. */
+        DELAY,
+        /** Those to the server are lost. */
+        CUT_FORWARD,
+        /** Those from the server are lost. */
+        CUT_BACK,
+        /** All are lost. */
+        SILENCE
+    }
+
+    FaultyLink(EventLoopGroup group, Loop loop, int targetPort) {
+        this.group = group;
+        this.loop = loop;
+        this.targetPort = targetPort;
+        this.listening = new ServerBootstrap()
+                .group(group)
+                .channel(NioServerSocketChannel.class)
+                .childHandler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel caller) {
+                        connect(caller);
+                    }
+                })
+                .bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0))
+                .syncUninterruptibly()
+                .channel();
+    }
+
+    int port() {
+        return ((InetSocketAddress) listening.localAddress()).getPort();
+    }
+
+    /** Sets the fault; bytes that a cut swallowed do not come back, so the connections of the time before end. */
+    void setFault(Fault newFault) {
+        boolean healed = fault != Fault.NONE && fault != Fault.DELAY;
+        fault = newFault;
+        if (healed) {
+            resetAll();
+        }
+    }
+
+    /** Resets all connections. */
+    void resetAll() {
+        List.copyOf(channels).forEach(channel -> {
+            channel.config().setOption(ChannelOption.SO_LINGER, 0);
+            ChannelFuture _closed = channel.close();
+        });
+        channels.clear();
+    }
+
+    private void connect(Channel caller) {
+        caller.config().setAutoRead(false);
+        ChannelFuture connecting = new Bootstrap()
+                .group(group)
+                .channel(NioSocketChannel.class)
+                .handler(new Pipe(caller, Fault.CUT_BACK))
+                .connect(new InetSocketAddress(InetAddress.getLoopbackAddress(), targetPort));
+        Channel server = connecting.channel();
+        caller.pipeline().addLast(new Pipe(server, Fault.CUT_FORWARD));
+        channels.add(caller);
+        channels.add(server);
+        connecting.addListener(_done -> {
+            if (connecting.isSuccess()) {
+                caller.config().setAutoRead(true);
+            } else {
+                ChannelFuture _closed = caller.close();
+            }
+        });
+    }
+
+    /** Passes on what arrives on one side. */
+    private final class Pipe extends ChannelInboundHandlerAdapter {
+        private final Channel other;
+        private final Fault cut;
+
+        Pipe(Channel other, Fault cut) {
+            this.other = other;
+            this.cut = cut;
+        }
+
+        @Override
+        public void channelRead(ChannelHandlerContext _context, Object message) {
+            if (fault == cut || fault == Fault.SILENCE) {
+                ReferenceCountUtil.release(message);
+            } else if (fault == Fault.DELAY) {
+                loop.schedule(DELAY_MILLIS, () -> pass(message));
+            } else {
+                pass(message);
+            }
+        }
+
+        private void pass(Object message) {
+            // A failed write ends the channel, which ends the other one as well.
+            ChannelFuture _written = other.writeAndFlush(message);
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext context) {
+            channels.remove(context.channel());
+            // After what is delayed.
+            loop.schedule(fault == Fault.DELAY ? DELAY_MILLIS : 0, () -> {
+                ChannelFuture _closed = other.close();
+            });
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable _cause) {
+            // A reset of one side is a reset of the other.
+            other.config().setOption(ChannelOption.SO_LINGER, 0);
+            ChannelFuture _closed = context.close();
+        }
+    }
+}
--- /dev/null
+++ b/soak/src/main/java/io/heatherloft/soak/HostProcess.java
@@ -0,0 +1,97 @@
+package io.heatherloft.soak;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+
+/**
+ * An entry host as a process of its own; only this process is ever signalled, by its id.
+ *
+ * <p>Confined to one thread.
+ */
+final class HostProcess {
+    private static final String MAIN = "io.heatherloft.entry.EntryMain";
+
+    private final Path directory;
+    private final Path settings;
+    private final String callerAddress;
+    private final String readyAddress;
+    private Process process;
+    private int starts;
+
+    HostProcess(Path directory, String name, String callerAddress, String readyAddress, String settingsText) {
+        this.directory = directory;
+        this.callerAddress = callerAddress;
+        this.readyAddress = readyAddress;
+        this.settings = directory.resolve(name + ".yaml");
+        try {
+            Files.writeString(settings, settingsText);
+        } catch (IOException exception) {
+            throw new UncheckedIOException(exception);
+        }
+    }
+
+    String callerAddress() {
+        return callerAddress;
+    }
+
+    String readyAddress() {
+        return readyAddress;
+    }
+
+    void start() {
+        starts++;
+        String name = settings.getFileName().toString().replace(".yaml", "");
+        try {
+            process = new ProcessBuilder(List.of(
+                            Path.of(System.getProperty("java.home"), "bin", "java")
+                                    .toString(),
+                            "-Xmx96m",
+                            "-XX:+UseSerialGC",
+                            "-XX:TieredStopAtLevel=1",
+                            "-Dheatherloft.listen=" + callerAddress,
+                            "-cp",
+                            System.getProperty("java.class.path"),
+                            MAIN,
+                            settings.toString()))
+                    .redirectErrorStream(true)
+                    .redirectOutput(
+                            directory.resolve(name + "-" + starts + ".log").toFile())
+                    .start();
+        } catch (IOException exception) {
+            throw new UncheckedIOException(exception);
+        }
+    }
+
+    boolean isAlive() {
+        return process != null && process.isAlive();
+    }
+
+    int exitCode() {
+        return process.exitValue();
+    }
+
+    /** Ends the process as a power loss does. */
+    void kill() throws InterruptedException {
+        process.destroyForcibly().waitFor();
+    }
+
+    /** Asks the process to end, and waits until it has. */
+    int terminate() throws InterruptedException {
+        process.destroy();
+        return process.waitFor();
+    }
+
+    /** Sends a signal, such as STOP, CONT or HUP. */
+    void signal(String name) throws InterruptedException {
+        try {
+            new ProcessBuilder("kill", "-" + name, String.valueOf(process.pid()))
+                    .start()
+                    .waitFor();
+        } catch (IOException exception) {
+            throw new UncheckedIOException(exception);
+        }
+    }
+}
--- /dev/null
+++ b/soak/src/main/java/io/heatherloft/soak/SoakMain.java
@@ -0,0 +1,60 @@
+package io.heatherloft.soak;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import net.sourceforge.argparse4j.ArgumentParsers;
+import net.sourceforge.argparse4j.inf.ArgumentParser;
+import net.sourceforge.argparse4j.inf.ArgumentParserException;
+import net.sourceforge.argparse4j.inf.Namespace;
+
+/**
+ * Runs the soak for some seeds.
+ *
+ * <p>Exit codes: 0 if no promise was broken, 1 if one was, 2 for wrong arguments. Runs on the main thread.
+ */
+public final class SoakMain {
+    private static final int EXIT_FINDINGS = 1;
+    private static final int EXIT_USAGE = 2;
+
+    private SoakMain() {}
+
+    /** Runs seed after seed. */
+    public static void main(String[] arguments) throws InterruptedException, IOException {
+        System.setProperty("jdk.httpclient.allowRestrictedHeaders", "host,connection");
+        ArgumentParser parser = ArgumentParsers.newFor("heatherloft-soak")
+                .build()
+                .defaultHelp(true)
+                .description("Runs entry hosts as processes under faults, and checks what callers and servers see.");
+        parser.addArgument("--first-seed").type(Long.class).setDefault(1L).help("seed of the first run");
+        parser.addArgument("--seeds").type(Integer.class).setDefault(1).help("number of runs");
+        parser.addArgument("--steps").type(Integer.class).setDefault(25).help("faults in a run");
+        parser.addArgument("--logs").setDefault("target/soak").help("directory for the hosts' logs");
+        try {
+            System.exit(run(parser.parseArgs(arguments)));
+        } catch (ArgumentParserException exception) {
+            parser.handleError(exception);
+            System.exit(EXIT_USAGE);
+        }
+    }
+
+    private static int run(Namespace parsed) throws InterruptedException, IOException {
+        int broken = 0;
+        long first = parsed.getLong("first_seed");
+        for (long seed = first; seed < first + parsed.getInt("seeds"); seed++) {
+            Path directory = Path.of(parsed.getString("logs"), String.valueOf(seed));
+            Files.createDirectories(directory);
+            SoakRun run = new SoakRun(seed, parsed.getInt("steps"), directory);
+            List<String> findings = run.run();
+            System.out.println("seed " + seed + ": " + (findings.isEmpty() ? "kept" : "BROKEN") + "; "
+                    + run.trace().get(run.trace().size() - 1));
+            if (!findings.isEmpty()) {
+                broken++;
+                run.trace().forEach(step -> System.out.println("  " + step));
+                findings.forEach(finding -> System.out.println("  broken: " + finding));
+            }
+        }
+        return broken == 0 ? 0 : EXIT_FINDINGS;
+    }
+}
--- /dev/null
+++ b/soak/src/test/java/io/heatherloft/soak/SoakTest.java
@@ -0,0 +1,64 @@
+package io.heatherloft.soak;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import io.heatherloft.soak.PromiseCheck.Kind;
+import io.heatherloft.soak.PromiseCheck.Received;
+import io.heatherloft.soak.PromiseCheck.Sent;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+final class SoakTest {
+    private static final int EVENTS = 3;
+
+    @Nested
+    final class TheCheck {
+        private final PromiseCheck check = new PromiseCheck();
+        private final Sent booking = new Sent(Kind.BOOKING, "b");
+
+        @Test
+        void finds_a_booking_that_ran_twice_and_one_that_was_refused_though_it_ran() {
+            check.onSent(booking);
+            check.onRun("b", Optional.of("malmo"), false);
+            check.onRun("b", Optional.of("malmo"), false);
+            check.onEnd(Map.of("b", 503));
+            assertThat(check.findings()).containsExactly("b: ran 2 times", "b: was refused with 503 and ran");
+        }
+
+        @Test
+        void finds_a_request_that_nobody_sent_and_a_key_that_was_passed_on() {
+            check.onRun("x", Optional.of("malmo"), false);
+            check.onSent(booking);
+            check.onRun("b", Optional.of("malmo"), true);
+            assertThat(check.findings()).hasSize(2);
+        }
+
+        @Test
+        void finds_an_answer_of_another_request_and_a_stream_that_lacks_its_end() {
+            Sent stream = new Sent(Kind.STREAM, "s");
+            check.onReceived(booking, new Received(200, "c", "desk-1.seal", "answer of desk-1"), EVENTS);
+            check.onReceived(stream, new Received(200, "s", "llm-1.seal", StreamText.whole(2)), EVENTS);
+            check.onReceived(stream, new Received(200, "s", "llm-1.seal", StreamText.whole(3)), EVENTS);
+            assertThat(check.findings()).hasSize(2);
+        }
+    }
+
+    @Nested
+    final class AShortRun {
+        @TempDir
+        Path directory;
+
+        @Test
+        void keeps_every_promise() throws InterruptedException {
+            SoakRun run = new SoakRun(1, 12, directory);
+            List<String> findings = run.run();
+            assertWithMessage("%s", run.trace()).that(findings).isEmpty();
+        }
+    }
+}
--- a/standins/src/main/java/io/heatherloft/standins/platform/RunnerStandIn.java
+++ b/standins/src/main/java/io/heatherloft/standins/platform/RunnerStandIn.java
@@ -32,6 +32,7 @@
     private final int events;
     private final Deque<Act> acts = new ArrayDeque<>();
     private final List<CallerRequest> received = new ArrayList<>();
+    private final List<CallerRequest> ran = new ArrayList<>();
     private int confidence = 90;
     private int callersLeft;
 
@@ -86,6 +87,11 @@
         return received;
     }
 
+    /** Returns the requests that were not refused, in order. */
+    public List<CallerRequest> ran() {
+        return ran;
+    }
+
     /** Returns the number of requests whose connection was closed before the answer. */
     public int callersLeft() {
         return callersLeft;
@@ -109,6 +115,9 @@
             public void onWritabilityChanged() {}
         });
         Act act = acts.isEmpty() ? Act.ANSWER : acts.poll();
+        if (act != Act.REFUSE) {
+            ran.add(request);
+        }
         if (act == Act.DELAY) {
             loop.schedule(DELAY_MILLIS, () -> act(request, exchange, act));
         } else {
