A hang-up during a start no longer ends the process

Ruled out: the handler itself (later hang-ups are logged as reloads). Change: the handler is installed by the first line of the program; the host's reload is put in later. Before: SoakTest's hang-up case fails (process gone), after: passes. A hang-up while the virtual machine itself starts, some 100 ms, still ends the process: it cannot be handled there.

--- a/entry/src/main/java/io/heatherloft/entry/EntryMain.java
+++ b/entry/src/main/java/io/heatherloft/entry/EntryMain.java
@@ -12,6 +12,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicReference;
 
 /**
  * Starts an entry host on the users' platform.
@@ -25,10 +26,15 @@
     private static final int EXIT_SETTINGS = 2;
     private static final int EXIT_CANNOT_START = 3;
 
+    private static final AtomicReference<Runnable> RELOAD = new AtomicReference<>(() -> {});
+
     private EntryMain() {}
 
     /** Runs a host until SIGTERM. */
     public static void main(String[] arguments) throws InterruptedException {
+        // First of all: until then a hang-up ends the process. One that comes before the settings are read needs
+        // nothing.
+        HangupSignal.handle(() -> RELOAD.get().run());
         EarlyListener early = EarlyListener.open();
         LineQueue lines = EntryHost.newLines();
         String path = arguments.length > 0
@@ -77,7 +83,7 @@
             host.finishLog();
             Runtime.getRuntime().halt(0);
         }));
-        HangupSignal.handle(host::reload);
+        RELOAD.set(host::reload);
         new CountDownLatch(1).await();
     }
 }
--- a/soak/src/main/java/io/heatherloft/soak/HostProcess.java
+++ b/soak/src/main/java/io/heatherloft/soak/HostProcess.java
@@ -1,7 +1,10 @@
 package io.heatherloft.soak;
 
+import io.heatherloft.ports.http.SocketAddresses;
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.net.InetSocketAddress;
+import java.net.Socket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
@@ -65,6 +68,16 @@
         }
     }
 
+    /** Returns true if a connection to the callers' address is accepted. */
+    boolean listens() {
+        InetSocketAddress address = SocketAddresses.parse(callerAddress);
+        try (Socket socket = new Socket(address.getAddress(), address.getPort())) {
+            return socket.isConnected();
+        } catch (IOException _exception) {
+            return false;
+        }
+    }
+
     boolean isAlive() {
         return process != null && process.isAlive();
     }
--- a/soak/src/main/java/io/heatherloft/soak/SoakFleet.java
+++ b/soak/src/main/java/io/heatherloft/soak/SoakFleet.java
@@ -21,9 +21,11 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Supplier;
 import java.util.stream.IntStream;
+import java.util.stream.Stream;
 
 /**
  * The stand-ins of a platform, with faulty links before them, and entry hosts as processes.
@@ -33,6 +35,8 @@
 final class SoakFleet implements AutoCloseable {
     static final String KEY = "k1";
     static final int EVENTS = 8;
+    // As in deploy/system.toml.
+    private static final int METRICS_PORT = 9_464;
 
     private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final Loop loop = new NettyLoop(group.next());
@@ -47,10 +51,10 @@
         links.put("store", storeLink);
         onLoop(() -> store.put("op/config", PlatformExample.configuration(configurationVersion, KEY)));
         List.of("llm-1", "llm-2", "desk-1", "desk-2", "desk-3").forEach(this::startBackend);
-        List<String> peers = IntStream.range(0, hostCount)
-                .mapToObj(host -> freeAddress("127.0.0." + (host + 2)))
-                .toList();
-        IntStream.range(0, hostCount).forEach(host -> hosts.add(newHost(directory, host, peers, storeLink.port())));
+        List<String> numbers = freeNumbers(hostCount);
+        List<String> peers = numbers.stream().map(SoakFleet::freeAddress).toList();
+        IntStream.range(0, hostCount)
+                .forEach(host -> hosts.add(newHost(directory, numbers.get(host), host, peers, storeLink.port())));
         hosts.forEach(HostProcess::start);
     }
 
@@ -80,8 +84,25 @@
         onLoop(() -> store.put("op/config", PlatformExample.configuration(configurationVersion, KEY)));
     }
 
-    private static HostProcess newHost(Path directory, int index, List<String> peers, int storePort) {
-        String ip = "127.0.0." + (index + 2);
+    // Loopback numbers at which the port of the metrics, which is fixed, is free; other runs may go on beside this one.
+    private static List<String> freeNumbers(int count) {
+        Random random = new Random();
+        return Stream.generate(() -> "127." + (1 + random.nextInt(254)) + '.' + random.nextInt(255) + ".2")
+                .filter(SoakFleet::isFree)
+                .distinct()
+                .limit(count)
+                .toList();
+    }
+
+    private static boolean isFree(String ip) {
+        try (ServerSocket _socket = new ServerSocket(METRICS_PORT, 1, InetAddress.getByName(ip))) {
+            return true;
+        } catch (IOException _exception) {
+            return false;
+        }
+    }
+
+    private static HostProcess newHost(Path directory, String ip, int index, List<String> peers, int storePort) {
         String callers = freeAddress(ip);
         String ready = freeAddress(ip);
         String settings =
--- a/soak/src/test/java/io/heatherloft/soak/SoakTest.java
+++ b/soak/src/test/java/io/heatherloft/soak/SoakTest.java
@@ -49,6 +49,32 @@
         }
     }
 
+    @Nested
+    final class AHost {
+        @TempDir
+        Path directory;
+
+        // Seed 2 with 15 steps: a hang-up between a start and its end ended the process with 129.
+        @Test
+        void survives_a_hang_up_as_soon_as_it_listens() throws InterruptedException {
+            try (SoakFleet fleet = new SoakFleet(directory, 1)) {
+                HostProcess host = fleet.hosts().get(0);
+                while (host.isAlive() && !host.listens()) {
+                    Thread.sleep(1);
+                }
+                host.signal("HUP");
+                SoakCaller caller = new SoakCaller("c", List.of(), 1);
+                int status = 0;
+                while (host.isAlive() && status != 200) {
+                    SoakCaller.Exchange exchange = caller.send(Kind.LOOKUP, host.callerAddress());
+                    status = exchange.answer() == null ? 0 : exchange.answer().status();
+                }
+                assertThat(host.isAlive()).isTrue();
+                assertThat(status).isEqualTo(200);
+            }
+        }
+    }
+
     @Nested
     final class AShortRun {
         @TempDir
