--- a/soak/src/test/java/io/heatherloft/soak/SoakTest.java
+++ b/soak/src/test/java/io/heatherloft/soak/SoakTest.java
@@ -6,6 +6,9 @@
 import io.heatherloft.soak.PromiseCheck.Kind;
 import io.heatherloft.soak.PromiseCheck.Received;
 import io.heatherloft.soak.PromiseCheck.Sent;
+import java.io.ByteArrayOutputStream;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Map;
@@ -75,6 +78,21 @@
         }
     }
 
+    @Nested
+    final class TheDemo {
+        @TempDir
+        Path directory;
+
+        @Test
+        void shows_what_it_announces() throws InterruptedException {
+            ByteArrayOutputStream printed = new ByteArrayOutputStream();
+            boolean asAnnounced = PlatformDemo.run(new PrintStream(printed, true, StandardCharsets.UTF_8), directory);
+            assertWithMessage("%s", printed.toString(StandardCharsets.UTF_8))
+                    .that(asAnnounced)
+                    .isTrue();
+        }
+    }
+
     @Nested
     final class AShortRun {
         @TempDir
