The stand-ins' bookings may take two servers, so that the test of at-most-once can fail

Cause: which edit fails which test was tried one by one; sending a request that may run once again after a lost answer failed none, since the example's route allowed one send anyway. Change: two sends are allowed on that route. With the edit, two cases of EntryHostTest fail now; without, all pass.

--- a/standins/src/main/java/io/heatherloft/standins/platform/PlatformExample.java
+++ b/standins/src/main/java/io/heatherloft/standins/platform/PlatformExample.java
@@ -16,7 +16,7 @@
                 "objective_ms":1000,"priority":1,"sizes":["small","large"],"service":"llm","max_attempts":3,
                 "stream_resume":true,"session_affinity":true,"gap_target_ms":1000},
                 {"name":"bookings","host":"a.example","prefix":"/bookings/","route_type":"non_idempotent",
-                "timeout_ms":2000,"objective_ms":100,"priority":2,"service":"desk","max_attempts":1},
+                "timeout_ms":2000,"objective_ms":100,"priority":2,"service":"desk","max_attempts":2},
                 {"name":"lookups","host":"a.example","prefix":"/lookups/","route_type":"idempotent",
                 "timeout_ms":2000,"objective_ms":100,"priority":2,"service":"desk","max_attempts":2}],
                 "services":[{"name":"llm","health_path":"/health","max_conns":360,"engine":{"slots":64,
