A roll-out rises later, so that a version that turns bad late meets few requests

The version turned bad at two thirds of a roll-out of 20.5 s, when all sessions had just moved (rise from 52 to 66 in 100); the verdict came 1.5 s later, after 12 bad answers of 110. Change: the rise goes from 60 to 72 in 100 of the time, completion is at 90.

--- a/domain/src/main/java/io/heatherloft/domain/rollout/RolloutPlan.java
+++ b/domain/src/main/java/io/heatherloft/domain/rollout/RolloutPlan.java
@@ -10,9 +10,9 @@
 public final class RolloutPlan {
     // Fractions of the roll-out's duration.
     private static final double TRIAL_START = 0.02;
-    private static final double RISE_START = 0.52;
-    private static final double RISE_END = 0.66;
-    private static final double COMPLETION = 0.86;
+    private static final double RISE_START = 0.60;
+    private static final double RISE_END = 0.72;
+    private static final double COMPLETION = 0.90;
     private static final double TRIAL_SHARE = 0.08;
     // Time by which the plan may be ahead of what was recorded of it; two records a second apart.
     private static final long UNRECORDED_MILLIS = 2_000L;
--- a/domain/src/test/java/io/heatherloft/domain/rollout/RolloutDecisionsTest.java
+++ b/domain/src/test/java/io/heatherloft/domain/rollout/RolloutDecisionsTest.java
@@ -30,6 +30,20 @@
             }
         }
 
+        // A day on which a version turns bad after two thirds of its roll-out: 55 requests a second for 20.5 s, seen
+        // after
+        // 1.5 s; a seventh of all requests and 30 more may have met it.
+        @Test
+        void exposes_few_requests_to_a_version_that_turns_bad_after_two_thirds() {
+            long duration = 20_500;
+            double perMilli = 0.055;
+            double exposed = 0;
+            for (long elapsed = 0; elapsed < 13_700 + 1_500; elapsed++) {
+                exposed += perMilli * RolloutPlan.shareAt(elapsed, duration);
+            }
+            assertThat(exposed).isAtMost(0.15 * perMilli * duration + 30);
+        }
+
         @Test
         void leaves_time_for_the_last_answers_of_the_version_before() {
             long all = 0;
