--- a/entry/src/test/java/io/heatherloft/entry/EntryHostTest.java
+++ b/entry/src/test/java/io/heatherloft/entry/EntryHostTest.java
@@ -13,7 +13,9 @@
 import java.net.InetAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ForkJoinPool;
 import java.util.regex.Matcher;
@@ -263,8 +265,9 @@
             rig.onLoop(() -> rig.store.put("op/config", PlatformExample.configuration(4, "k2")));
             rig.await(() -> rig.plain(host, "GET", "/lookups/x", "r1").startsWith("HTTP/1.1 401"));
             rig.onLoop(() -> rig.store.put("op/config", PlatformExample.configuration(3, PlatformRig.KEY)));
-            rig.onLoop(() -> rig.store.put("servers/d-9", PlatformExample.backend("desk", 1, "v1", "draining")));
-            rig.await(() -> rig.get(host.metricsPort(), "/metrics").contains("store_values_unreadable"));
+            // Comes with the same watch, after the configuration.
+            rig.onLoop(() -> rig.store.put("op/rollout/desk", "[]"));
+            rig.await(() -> rig.get(host.metricsPort(), "/metrics").contains("store_values_unreadable_total 1"));
             assertThat(rig.plain(host, "GET", "/lookups/x", "r2")).startsWith("HTTP/1.1 401");
         }
 
@@ -457,5 +460,27 @@
             stopped.join();
             assertThat(rig.plain(host, "GET", "/lookups/x", "r2")).startsWith("connection failed");
         }
+
+        @Test
+        void answers_each_request_that_was_read_before_the_process_ends() {
+            RunnerStandIn server = rig.backend("desk", "d-1", "v1");
+            EntryHost host = loneHost();
+            rig.onLoop(() -> IntStream.range(0, 500).forEach(_index -> server.next(Act.DELAY)));
+            CompletableFuture<Void> ended = host.stop().thenRun(host::kill);
+            Map<String, CompletableFuture<String>> answers = new HashMap<>();
+            rig.await(() -> {
+                String id = "r" + answers.size();
+                answers.put(
+                        id,
+                        CompletableFuture.supplyAsync(
+                                () -> rig.plain(host, "GET", "/lookups/x", id), ForkJoinPool.commonPool()));
+                return ended.isDone();
+            });
+            List<CallerRequest> passedOn = received(server);
+            assertThat(passedOn).isNotEmpty();
+            passedOn.forEach(request -> assertThat(
+                            answers.get(request.headers().get("X-Attempt-Id")).join())
+                    .startsWith("HTTP/1.1 200"));
+        }
     }
 }
