Other hosts' loads are summed once a choice, not once a server

Ruled out: nothing else on that path grows with hosts. Change: HostReports.loads sums all in one pass; the chooser asks once. The candidates that are tried one list after the other are picked before the sums are looked up. BackendServerState.firstSeenMillis was read by nobody and is gone. Choices are as before: HostReportsTest compares the sums with naive ones.

--- a/router/src/main/java/io/heatherloft/router/fleet/BackendRegistry.java
+++ b/router/src/main/java/io/heatherloft/router/fleet/BackendRegistry.java
@@ -40,7 +40,7 @@
                 || known.entry().startedAtMillis() != entry.startedAtMillis()
                 || !known.entry().address().equals(entry.address())) {
             onEnd(known);
-            servers.put(entry.id(), new BackendServerState(entry, revision, loop.nowMillis()));
+            servers.put(entry.id(), new BackendServerState(entry, revision));
             logChange(entry, revision, known == null ? "joined" : "restarted");
             return;
         }
--- a/router/src/main/java/io/heatherloft/router/fleet/BackendServerState.java
+++ b/router/src/main/java/io/heatherloft/router/fleet/BackendServerState.java
@@ -13,7 +13,6 @@
 public final class BackendServerState {
     private final BackendTarget target;
     private final long idHash;
-    private final long firstSeenMillis;
     private final BackendHealth health = new BackendHealth();
     // A fifth of an engine's cache: the other hosts fill it as well, and running requests take room.
     private final PrefixMemory prefixes = new PrefixMemory(150_000L);
@@ -24,10 +23,9 @@
     private long unreadTokens;
     private long lastNewsMillis;
 
-    BackendServerState(BackendEntry entry, long revision, long nowMillis) {
+    BackendServerState(BackendEntry entry, long revision) {
         this.entry = entry;
         this.revision = revision;
-        this.firstSeenMillis = nowMillis;
         this.target = new BackendTarget(entry.id(), entry.address());
         this.idHash = StableHash.of(entry.id());
     }
@@ -56,11 +54,6 @@
         return revision;
     }
 
-    /** Returns the loop time at which this host first knew of the server. */
-    public long firstSeenMillis() {
-        return firstSeenMillis;
-    }
-
     /** Returns a name of this start of the server. */
     public String incarnation() {
         return entry.id() + '@' + entry.startedAtMillis();
--- a/router/src/main/java/io/heatherloft/router/peers/HostReports.java
+++ b/router/src/main/java/io/heatherloft/router/peers/HostReports.java
@@ -1,6 +1,5 @@
 package io.heatherloft.router.peers;
 
-import io.heatherloft.peer.generated.BackendLoad;
 import io.heatherloft.peer.generated.HostReport;
 import io.heatherloft.ports.loop.Loop;
 import java.util.Collection;
@@ -73,14 +72,14 @@
         return 1 + known().size();
     }
 
-    /** Returns the requests that other hosts have in progress on a backend server, as far as they told lately. */
-    public int loadOf(String backendId) {
-        return byHost.values().stream()
+    /** Returns the requests that other hosts have in progress on each backend server, as far as they told lately. */
+    public Map<String, Integer> loads() {
+        Map<String, Integer> loads = new HashMap<>();
+        byHost.values().stream()
                 .filter(received -> ageOf(received) < FRESH_LOAD_MILLIS)
                 .flatMap(received -> received.report().getLoadsList().stream())
-                .filter(load -> load.getBackendId().equals(backendId))
-                .mapToInt(BackendLoad::getOutstanding)
-                .sum();
+                .forEach(load -> loads.merge(load.getBackendId(), load.getOutstanding(), Integer::sum));
+        return loads;
     }
 
     private List<HostReport> youngerThan(long limitMillis) {
--- a/router/src/main/java/io/heatherloft/router/request/BackendChooser.java
+++ b/router/src/main/java/io/heatherloft/router/request/BackendChooser.java
@@ -8,9 +8,11 @@
 import io.heatherloft.router.fleet.VersionPolicies;
 import io.heatherloft.router.peers.HostReports;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.stream.Collectors;
+import java.util.stream.Stream;
 
 /**
  * Chooses the backend server of each attempt from what this host knows now.
@@ -63,23 +65,29 @@
         List<BackendServerState> sound = fresh.stream()
                 .filter(server -> server.health().isAvailable(now))
                 .toList();
-        return chooseAmong(sound, facts).or(() -> chooseAmong(fresh, facts)).or(() -> chooseAmong(allowed, facts));
+        Map<String, Integer> otherLoads = reports.loads();
+        return Stream.of(sound, fresh, allowed)
+                .filter(servers -> !servers.isEmpty())
+                .findFirst()
+                .flatMap(servers -> chooseAmong(servers, facts, otherLoads));
     }
 
-    private Optional<BackendServerState> chooseAmong(List<BackendServerState> servers, RequestFacts facts) {
+    private Optional<BackendServerState> chooseAmong(
+            List<BackendServerState> servers, RequestFacts facts, Map<String, Integer> otherLoads) {
         Optional<String> shared = facts.sharedPrompt();
         long hash = StableHash.of(shared.or(facts::attemptId).orElse(""));
-        List<BackendChoice.Candidate<BackendServerState>> candidates =
-                servers.stream().map(server -> candidateOf(server, shared)).toList();
+        List<BackendChoice.Candidate<BackendServerState>> candidates = servers.stream()
+                .map(server -> candidateOf(server, shared, otherLoads))
+                .toList();
         return BackendChoice.choose(candidates, hash, facts.sharedTokens());
     }
 
     private BackendChoice.Candidate<BackendServerState> candidateOf(
-            BackendServerState server, Optional<String> shared) {
+            BackendServerState server, Optional<String> shared, Map<String, Integer> otherLoads) {
         return new BackendChoice.Candidate<>(
                 server,
                 server.idHash(),
-                server.outstanding() + reports.loadOf(server.entry().id()),
+                server.outstanding() + otherLoads.getOrDefault(server.entry().id(), 0),
                 server.unreadTokens(),
                 server.entry().slots(),
                 shared.map(server::remembersPrefix).orElse(false),
