One map that drops its eldest entry

Change: BoundedMap in domain, by age or by use as each was; behaviour as before. mvn -B verify passes.

--- a/bench/src/main/java/io/heatherloft/bench/policy/EngineModel.java
+++ b/bench/src/main/java/io/heatherloft/bench/policy/EngineModel.java
@@ -1,10 +1,10 @@
 package io.heatherloft.bench.policy;
 
+import io.heatherloft.domain.BoundedMap;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashSet;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.PriorityQueue;
@@ -143,14 +143,7 @@
         private final int index;
         private final ArrayDeque<Request> waiting = new ArrayDeque<>();
         private final ArrayDeque<Report> reports = new ArrayDeque<>();
-        private final Map<Integer, Boolean> cache = new LinkedHashMap<>(16, 0.75f, true) {
-            private static final long serialVersionUID = 1L;
-
-            @Override
-            protected boolean removeEldestEntry(Map.Entry<Integer, Boolean> _eldest) {
-                return size() > CACHED_PREFIXES;
-            }
-        };
+        private final Map<Integer, Boolean> cache = BoundedMap.ofLastUsed(CACHED_PREFIXES);
         private int running;
         private int lastReported;
         private boolean lost;
--- a/daemon/src/main/java/io/heatherloft/daemon/backend/PoolQueue.java
+++ b/daemon/src/main/java/io/heatherloft/daemon/backend/PoolQueue.java
@@ -1,13 +1,13 @@
 package io.heatherloft.daemon.backend;
 
 import io.heatherloft.daemon.Counters;
+import io.heatherloft.domain.BoundedMap;
 import io.heatherloft.domain.admission.FairQueue;
 import io.heatherloft.domain.admission.WaitEstimator;
 import io.heatherloft.domain.routing.Placement;
 import io.heatherloft.ports.loop.Loop;
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -34,14 +34,7 @@
     private final FairQueue<Waiter> queue = new FairQueue<>(CAPACITY);
     private final WaitEstimator waits = new WaitEstimator();
     private final Map<String, Integer> running = new HashMap<>();
-    private final Map<Long, Boolean> recentPrefixes = new LinkedHashMap<>() {
-        private static final long serialVersionUID = 1L;
-
-        @Override
-        protected boolean removeEldestEntry(Map.Entry<Long, Boolean> _eldest) {
-            return size() > RECENT_PREFIXES;
-        }
-    };
+    private final Map<Long, Boolean> recentPrefixes = BoundedMap.ofNewest(RECENT_PREFIXES);
     private boolean recheckScheduled;
 
     PoolQueue(Loop loop, Counters counters, Supplier<List<BackendState>> servers, Supplier<Integer> limitPerServer) {
--- a/daemon/src/main/java/io/heatherloft/daemon/request/ExplanationStore.java
+++ b/daemon/src/main/java/io/heatherloft/daemon/request/ExplanationStore.java
@@ -1,6 +1,6 @@
 package io.heatherloft.daemon.request;
 
-import java.util.LinkedHashMap;
+import io.heatherloft.domain.BoundedMap;
 import java.util.Map;
 import java.util.Optional;
 
@@ -12,14 +12,7 @@
 public final class ExplanationStore {
     private static final int CAPACITY = 10_000;
 
-    private final Map<String, Explanation> explanations = new LinkedHashMap<>() {
-        private static final long serialVersionUID = 1L;
-
-        @Override
-        protected boolean removeEldestEntry(Map.Entry<String, Explanation> _eldest) {
-            return size() > CAPACITY;
-        }
-    };
+    private final Map<String, Explanation> explanations = BoundedMap.ofNewest(CAPACITY);
 
     /** Keeps an explanation; a resend of a request replaces what was kept of the earlier send. */
     public void put(Explanation explanation) {
--- a/daemon/src/main/java/io/heatherloft/daemon/request/SessionBinder.java
+++ b/daemon/src/main/java/io/heatherloft/daemon/request/SessionBinder.java
@@ -4,6 +4,7 @@
 import io.heatherloft.daemon.Ports;
 import io.heatherloft.daemon.fleet.FleetState;
 import io.heatherloft.daemon.ledger.LedgerService;
+import io.heatherloft.domain.BoundedMap;
 import io.heatherloft.domain.configuration.Model;
 import io.heatherloft.domain.configuration.VersionReference;
 import io.heatherloft.domain.configuration.Workspace;
@@ -14,7 +15,6 @@
 import io.heatherloft.domain.routing.DispatchRules;
 import io.heatherloft.domain.routing.VersionSelector;
 import io.heatherloft.ports.loop.Futures;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -36,14 +36,7 @@
     private final FleetState fleet;
     private final LedgerService ledger;
     private final Counters counters;
-    private final Map<SessionKey, CachedPin> cache = new LinkedHashMap<>() {
-        private static final long serialVersionUID = 1L;
-
-        @Override
-        protected boolean removeEldestEntry(Map.Entry<SessionKey, CachedPin> _eldest) {
-            return size() > CACHE_CAPACITY;
-        }
-    };
+    private final Map<SessionKey, CachedPin> cache = BoundedMap.ofNewest(CACHE_CAPACITY);
 
     /** Creates a binder. */
     public SessionBinder(Ports ports, FleetState fleet, LedgerService ledger, Counters counters) {
--- a/domain/src/main/java/io/heatherloft/domain/route/CrashSuspects.java
+++ b/domain/src/main/java/io/heatherloft/domain/route/CrashSuspects.java
@@ -1,9 +1,9 @@
 package io.heatherloft.domain.route;
 
+import io.heatherloft.domain.BoundedMap;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -25,9 +25,9 @@
     private static final long MEMORY_MILLIS = 60_000L;
     private static final int MOST_REQUESTS = 256;
 
-    private final Map<Long, Map<String, Long>> crashes = bounded();
-    private final Map<Long, Long> answered = bounded();
-    private final Map<String, List<BrokenOff>> waiting = bounded();
+    private final Map<Long, Map<String, Long>> crashes = BoundedMap.ofNewest(MOST_REQUESTS);
+    private final Map<Long, Long> answered = BoundedMap.ofNewest(MOST_REQUESTS);
+    private final Map<String, List<BrokenOff>> waiting = BoundedMap.ofNewest(MOST_REQUESTS);
 
     /** A server that crashed while it ran a request. */
     public record Crash(long request, String server) {}
@@ -108,15 +108,4 @@
     private static boolean isFresh(Long atMillis, long nowMillis) {
         return atMillis != null && nowMillis - atMillis <= MEMORY_MILLIS;
     }
-
-    private static <K, V> Map<K, V> bounded() {
-        return new LinkedHashMap<>() {
-            private static final long serialVersionUID = 1L;
-
-            @Override
-            protected boolean removeEldestEntry(Map.Entry<K, V> _eldest) {
-                return size() > MOST_REQUESTS;
-            }
-        };
-    }
 }
--- a/router/src/main/java/io/heatherloft/router/fleet/SessionVersions.java
+++ b/router/src/main/java/io/heatherloft/router/fleet/SessionVersions.java
@@ -1,6 +1,6 @@
 package io.heatherloft.router.fleet;
 
-import java.util.LinkedHashMap;
+import io.heatherloft.domain.BoundedMap;
 import java.util.Map;
 import java.util.Optional;
 
@@ -14,14 +14,7 @@
     public static final int CAPACITY = 20_000;
 
     private final long idleMillis;
-    private final Map<String, Use> uses = new LinkedHashMap<>(16, 0.75f, true) {
-        private static final long serialVersionUID = 1L;
-
-        @Override
-        protected boolean removeEldestEntry(Map.Entry<String, Use> _eldest) {
-            return size() > CAPACITY;
-        }
-    };
+    private final Map<String, Use> uses = BoundedMap.ofLastUsed(CAPACITY);
 
     /**
      * Creates an empty memory.
