Stand-ins of the users' platform share their loop, messages and keys

Cause: the test rig of entry, the soak and the build's rehearsal each had their own loop, listening port and wait for a task; the soak named the platform's headers, keys and settings itself, and its host process kept an address that nothing read. Change: StandInLoop serves all three; the headers, the settings and the run of a request come from the stand-ins, whose texts of requests are made of the same headers (same lines, in another order). BoundaryTest searches the soak's sources too.

--- a/entry/src/test/java/io/heatherloft/entry/BoundaryTest.java
+++ b/entry/src/test/java/io/heatherloft/entry/BoundaryTest.java
@@ -38,7 +38,7 @@
     final class ThePlatformsNames {
         @Test
         void stand_in_the_platform_module_and_its_stand_ins_only() throws IOException {
-            for (String module : List.of("domain", "ports", "peer", "router", "entry", "daemon", "cli")) {
+            for (String module : List.of("domain", "ports", "peer", "router", "entry", "soak", "daemon", "cli")) {
                 assertThat(sources(module).stream().filter(BoundaryTest::names).toList())
                         .isEmpty();
             }
--- a/entry/src/test/java/io/heatherloft/entry/PlatformRig.java
+++ b/entry/src/test/java/io/heatherloft/entry/PlatformRig.java
@@ -1,20 +1,12 @@
 package io.heatherloft.entry;
 
-import io.heatherloft.domain.route.CallerLimits;
 import io.heatherloft.platform.PlatformSettings;
-import io.heatherloft.ports.loop.Loop;
-import io.heatherloft.router.NettyLoop;
-import io.heatherloft.router.http.CallerHandler;
-import io.heatherloft.router.http.CallerServer;
 import io.heatherloft.standins.platform.PlatformExample;
 import io.heatherloft.standins.platform.RunnerStandIn;
+import io.heatherloft.standins.platform.StandInLoop;
 import io.heatherloft.standins.platform.StoreStandIn;
-import io.netty.channel.EventLoopGroup;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
 import java.io.IOException;
 import java.net.InetAddress;
-import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
@@ -23,7 +15,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.concurrent.CompletableFuture;
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 
@@ -38,8 +29,7 @@
     private static final long POLL_MILLIS = 10L;
 
     final StoreStandIn store;
-    private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
-    private final Loop loop = new NettyLoop(group.next());
+    private final StandInLoop loop = new StandInLoop();
     private final List<EntryHost> hosts = new ArrayList<>();
     private final Map<String, RunnerStandIn> backends = new LinkedHashMap<>();
     private final Map<String, Integer> backendPorts = new LinkedHashMap<>();
@@ -47,16 +37,16 @@
     long sessionMillis = 5_000L;
 
     PlatformRig() {
-        store = new StoreStandIn(loop);
-        storePort = listen(store);
+        store = new StoreStandIn(loop.loop());
+        storePort = loop.listen(store, 0);
         onLoop(() -> store.put("op/config", PlatformExample.configuration(1, KEY)));
     }
 
     /** Starts a backend server and enters it in the store. */
     RunnerStandIn backend(String service, String id, String version) {
-        RunnerStandIn backend = new RunnerStandIn(loop, id, 8);
+        RunnerStandIn backend = new RunnerStandIn(loop.loop(), id, 8);
         backends.put(id, backend);
-        backendPorts.put(id, listen(backend));
+        backendPorts.put(id, loop.listen(backend, 0));
         onLoop(() -> store.put("servers/" + id, PlatformExample.backend(service, backendPorts.get(id), version)));
         return backend;
     }
@@ -65,13 +55,6 @@
         return backendPorts.get(id);
     }
 
-    private int listen(CallerHandler handler) {
-        CallerServer server = new CallerServer(group, loop, () -> CallerLimits.DEFAULT, handler, _status -> {});
-        server.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0))
-                .join();
-        return server.port();
-    }
-
     /** Starts a host that knows the other hosts' peer addresses and has learned the backend servers. */
     EntryHost host(String name, int peerPort, List<Integer> seedPorts) {
         EntryHost host = startHost(name, peerPort, seedPorts);
@@ -140,16 +123,11 @@
     }
 
     <T> T onLoop(Supplier<T> task) {
-        CompletableFuture<T> result = new CompletableFuture<>();
-        loop.execute(() -> result.complete(task.get()));
-        return result.join();
+        return loop.call(task);
     }
 
     void onLoop(Runnable task) {
-        onLoop(() -> {
-            task.run();
-            return true;
-        });
+        loop.run(task);
     }
 
     /** Waits for something that must come about; the limit only ends a test that has failed. */
@@ -178,7 +156,6 @@
     @Override
     public void close() {
         hosts.forEach(EntryHost::kill);
-        io.netty.util.concurrent.Future<?> _ended =
-                group.shutdownGracefully(0, 0, java.util.concurrent.TimeUnit.MILLISECONDS);
+        loop.close();
     }
 }
--- a/soak/src/main/java/io/heatherloft/soak/HostProcess.java
+++ b/soak/src/main/java/io/heatherloft/soak/HostProcess.java
@@ -20,14 +20,12 @@
     private final Path directory;
     private final Path settings;
     private final String callerAddress;
-    private final String readyAddress;
     private Process process;
     private int starts;
 
-    HostProcess(Path directory, String name, String callerAddress, String readyAddress, String settingsText) {
+    HostProcess(Path directory, String name, String callerAddress, String settingsText) {
         this.directory = directory;
         this.callerAddress = callerAddress;
-        this.readyAddress = readyAddress;
         this.settings = directory.resolve(name + ".yaml");
         try {
             Files.writeString(settings, settingsText);
@@ -40,10 +38,6 @@
         return callerAddress;
     }
 
-    String readyAddress() {
-        return readyAddress;
-    }
-
     void start() {
         starts++;
         String name = settings.getFileName().toString().replace(".yaml", "");
--- a/soak/src/main/java/io/heatherloft/soak/PromiseCheck.java
+++ b/soak/src/main/java/io/heatherloft/soak/PromiseCheck.java
@@ -1,5 +1,7 @@
 package io.heatherloft.soak;
 
+import io.heatherloft.standins.platform.PlatformExample;
+import io.heatherloft.standins.platform.RunnerStandIn;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -46,13 +48,15 @@
     }
 
     /** A backend server took a request that it will run. */
-    void onRun(String id, Optional<String> workspace, boolean keyPassedOn) {
+    void onRun(RunnerStandIn.Run run) {
+        String id = run.requestId();
         runs.merge(id, 1, Integer::sum);
         if (!sent.containsKey(id)) {
             findings.add(id + ": was run and never sent");
         }
-        if (!workspace.equals(Optional.of("malmo")) || keyPassedOn) {
-            findings.add(id + ": reached a server as " + workspace + (keyPassedOn ? " with the caller's key" : ""));
+        if (!run.workspace().equals(Optional.of(PlatformExample.WORKSPACE)) || run.keyPassedOn()) {
+            findings.add(id + ": reached a server as " + run.workspace()
+                    + (run.keyPassedOn() ? " with the caller's key" : ""));
         }
     }
 
--- a/soak/src/main/java/io/heatherloft/soak/SoakCaller.java
+++ b/soak/src/main/java/io/heatherloft/soak/SoakCaller.java
@@ -1,5 +1,6 @@
 package io.heatherloft.soak;
 
+import io.heatherloft.standins.platform.PlatformExample;
 import java.io.IOException;
 import java.net.URI;
 import java.net.http.HttpClient;
@@ -8,6 +9,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Random;
 
 /**
@@ -18,6 +20,7 @@
 final class SoakCaller implements Runnable {
     // Above the longest route's time and deadline, so that only a host that never answers is given up.
     private static final Duration PATIENCE = Duration.ofSeconds(30);
+    private static final long DEADLINE_MILLIS = 3_000L;
     private static final int PAUSE_MILLIS = 15;
 
     private final String name;
@@ -71,8 +74,10 @@
                     sent,
                     new PromiseCheck.Received(
                             answer.statusCode(),
-                            answer.headers().firstValue("X-Attempt-Id").orElse(""),
-                            answer.headers().firstValue("X-Runner-Seal").orElse(""),
+                            answer.headers()
+                                    .firstValue(PlatformExample.REQUEST_ID)
+                                    .orElse(""),
+                            answer.headers().firstValue(PlatformExample.SEAL).orElse(""),
                             answer.body()));
         } catch (IOException _exception) {
             // Hosts are killed and links cut; what that may do to a request is checked from the servers' side.
@@ -81,25 +86,25 @@
     }
 
     private static HttpRequest request(PromiseCheck.Sent sent, String address) {
-        HttpRequest.Builder builder = HttpRequest.newBuilder()
-                .timeout(PATIENCE)
-                .header("Host", "a.example")
-                .header("X-Attempt-Id", sent.id())
-                .header("X-Deadline-Ms", "3000")
-                .header("Authorization", "Bearer " + SoakFleet.KEY);
+        Map<String, String> plain = PlatformExample.plainHeaders(sent.id(), SoakFleet.KEY, DEADLINE_MILLIS);
         String base = "http://" + address;
         return switch (sent.kind()) {
-            case BOOKING -> builder.uri(URI.create(base + "/bookings/x"))
+            case BOOKING -> builder(base + "/bookings/x", plain)
                     .POST(HttpRequest.BodyPublishers.noBody())
                     .build();
-            case LOOKUP -> builder.uri(URI.create(base + "/lookups/x")).GET().build();
-            case STREAM -> builder.uri(URI.create(base + "/plans/north"))
-                    .header("X-Model-Name", "*")
-                    .header("X-Token-Count", "1460,80")
-                    .header("X-Prompt-Prefix", "5c1e07a2:800,91bd3f06:410,e4402b7d:250")
-                    .header("Session", sent.id())
+            case LOOKUP -> builder(base + "/lookups/x", plain).GET().build();
+            case STREAM -> builder(
+                            base + "/plans/north",
+                            PlatformExample.streamHeaders(sent.id(), SoakFleet.KEY, DEADLINE_MILLIS, sent.id()))
                     .POST(HttpRequest.BodyPublishers.ofString("hello"))
                     .build();
         };
     }
+
+    private static HttpRequest.Builder builder(String target, Map<String, String> headers) {
+        HttpRequest.Builder builder =
+                HttpRequest.newBuilder().uri(URI.create(target)).timeout(PATIENCE);
+        headers.forEach(builder::header);
+        return builder;
+    }
 }
--- a/soak/src/main/java/io/heatherloft/soak/SoakRun.java
+++ b/soak/src/main/java/io/heatherloft/soak/SoakRun.java
@@ -7,7 +7,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.Random;
 import java.util.stream.IntStream;
 
@@ -182,10 +181,7 @@
         exchanges.forEach(exchange -> check.onSent(exchange.sent()));
         fleet.onLoop(() -> fleet.backends().values().stream()
                 .flatMap(backend -> backend.ran().stream())
-                .forEach(request -> check.onRun(
-                        request.headers().get("X-Attempt-Id", ""),
-                        Optional.ofNullable(request.headers().get("X-Tenant-Name")),
-                        request.headers().contains("Authorization"))));
+                .forEach(check::onRun));
         exchanges.stream().filter(exchange -> exchange.answer() != null).forEach(exchange -> {
             statuses.put(exchange.sent().id(), exchange.answer().status());
             check.onReceived(exchange.sent(), exchange.answer(), SoakFleet.EVENTS);
--- a/standins/src/main/java/io/heatherloft/standins/platform/PlatformExample.java
+++ b/standins/src/main/java/io/heatherloft/standins/platform/PlatformExample.java
@@ -1,11 +1,23 @@
 package io.heatherloft.standins.platform;
 
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.stream.Collectors;
+
 /**
  * Small values and messages in the platform's formats.
  *
  * <p>Stateless and safe for use by several threads.
  */
 public final class PlatformExample {
+    /** Header with the identity of a request, which an answer repeats. */
+    public static final String REQUEST_ID = "X-Attempt-Id";
+    /** Header with the seal of the server that made an answer. */
+    public static final String SEAL = "X-Runner-Seal";
+    /** Workspace of the configuration's key. */
+    public static final String WORKSPACE = "malmo";
+
     private PlatformExample() {}
 
     /** Returns a configuration with one engine service, one plain service and one workspace with a key. */
@@ -24,9 +36,9 @@
                 {"name":"desk","health_path":"/health","max_conns":96}],
                 "limits":{"max_header_bytes":16384,"max_body_bytes":65536,"header_timeout_ms":3000,
                 "idle_timeout_ms":15000},
-                "tenants":[{"name":"malmo","api_keys":["%s"],"priority":1}]}
+                "tenants":[{"name":"%s","api_keys":["%s"],"priority":1}]}
                 """
-                .formatted(version, key);
+                .formatted(version, WORKSPACE, key);
     }
 
     /** Returns what a backend server on this machine says of itself. */
@@ -43,35 +55,80 @@
                 .formatted(service, port, version, state);
     }
 
+    /**
+     * Returns the headers of a request for a stream.
+     *
+     * @param deadlineMillis time for which the caller waits
+     */
+    public static Map<String, String> streamHeaders(String id, String key, long deadlineMillis, String session) {
+        Map<String, String> headers = plainHeaders(id, key, deadlineMillis);
+        headers.put("X-Model-Name", "*");
+        headers.put("X-Token-Count", "1460,80");
+        headers.put("X-Prompt-Prefix", "5c1e07a2:800,91bd3f06:410,e4402b7d:250");
+        headers.put("Session", session);
+        return headers;
+    }
+
+    /**
+     * Returns the headers of a request to a plain service.
+     *
+     * @param deadlineMillis time for which the caller waits
+     */
+    public static Map<String, String> plainHeaders(String id, String key, long deadlineMillis) {
+        Map<String, String> headers = new LinkedHashMap<>();
+        headers.put("Host", "a.example");
+        headers.put(REQUEST_ID, id);
+        headers.put("X-Deadline-Ms", String.valueOf(deadlineMillis));
+        headers.put("Authorization", "Bearer " + key);
+        return headers;
+    }
+
     /** Returns a request for a stream. */
     public static String streamRequest(String id, String key) {
-        return """
-                POST /plans/north HTTP/1.1\r
-                Host: a.example\r
-                X-Attempt-Id: %s\r
-                X-Model-Name: *\r
-                X-Token-Count: 1460,80\r
-                X-Prompt-Prefix: 5c1e07a2:800,91bd3f06:410,e4402b7d:250\r
-                X-Deadline-Ms: 5000\r
-                Session: s1\r
-                Authorization: Bearer %s\r
-                Content-Length: 5\r
-                \r
-                hello"""
-                .formatted(id, key);
+        return request("POST", "/plans/north", streamHeaders(id, key, 5_000, "s1"), "hello");
     }
 
     /** Returns a request to a plain service. */
     public static String plainRequest(String method, String path, String id, String key) {
+        return request(method, path, plainHeaders(id, key, 2_000), "");
+    }
+
+    private static String request(String method, String path, Map<String, String> headers, String body) {
+        String lines = headers.entrySet().stream()
+                .map(header -> header.getKey() + ": " + header.getValue() + "\r\n")
+                .collect(Collectors.joining());
+        return method + ' ' + path + " HTTP/1.1\r\n" + lines + "Content-Length: " + body.length() + "\r\n\r\n" + body;
+    }
+
+    /**
+     * Returns the settings of a host on this machine.
+     *
+     * @param peers peer addresses of all hosts; {@code index} is this host's
+     */
+    public static String settings(
+            int index, String ip, String callers, String ready, List<String> peers, int graceSeconds, int storePort) {
         return """
-                %s %s HTTP/1.1\r
-                Host: a.example\r
-                X-Attempt-Id: %s\r
-                X-Deadline-Ms: 2000\r
-                Authorization: Bearer %s\r
-                Content-Length: 0\r
-                \r
+                node_name: "host-%d"
+                ip: "%s"
+                zone: "a"
+                listen_addrs:
+                  front: "%s"
+                  ready: "%s"
+                  control: "%s"
+                seed_nodes: [%s]
+                bounds:
+                  grace_s: %d
+                platform:
+                  address: "127.0.0.1:%d"
                 """
-                .formatted(method, path, id, key);
+                .formatted(
+                        index,
+                        ip,
+                        callers,
+                        ready,
+                        peers.get(index),
+                        peers.stream().map(peer -> '"' + peer + '"').collect(Collectors.joining(", ")),
+                        graceSeconds,
+                        storePort);
     }
 }
--- a/standins/src/main/java/io/heatherloft/standins/platform/RehearsalMain.java
+++ b/standins/src/main/java/io/heatherloft/standins/platform/RehearsalMain.java
@@ -1,16 +1,7 @@
 package io.heatherloft.standins.platform;
 
-import io.heatherloft.domain.route.CallerLimits;
-import io.heatherloft.ports.loop.Loop;
-import io.heatherloft.router.NettyLoop;
-import io.heatherloft.router.http.CallerHandler;
-import io.heatherloft.router.http.CallerServer;
-import io.netty.channel.EventLoopGroup;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
 import java.io.IOException;
 import java.net.InetAddress;
-import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 
@@ -35,25 +26,18 @@
             System.exit(EXIT_USAGE);
         }
         int backendPort = Integer.parseInt(arguments[1]);
-        EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
-        Loop loop = new NettyLoop(group.next());
-        StoreStandIn store = new StoreStandIn(loop);
-        loop.execute(() -> {
-            store.put("op/config", PlatformExample.configuration(1, "k1"));
-            store.put("servers/i-1", PlatformExample.backend("llm", backendPort, "v1"));
+        StandInLoop loop = new StandInLoop();
+        StoreStandIn store = new StoreStandIn(loop.loop());
+        loop.run(() -> {
+            store.putConfiguration(PlatformExample.configuration(1, "k1"));
+            store.putBackend("i-1", PlatformExample.backend("llm", backendPort, "v1"));
         });
-        listen(group, loop, store, Integer.parseInt(arguments[0]));
-        listen(group, loop, new RunnerStandIn(loop, "i-1", 8), backendPort);
+        int _storePort = loop.listen(store, Integer.parseInt(arguments[0]));
+        int _backendPort = loop.listen(new RunnerStandIn(loop.loop(), "i-1", 8), backendPort);
         send(Integer.parseInt(arguments[2]));
         System.exit(0);
     }
 
-    private static void listen(EventLoopGroup group, Loop loop, CallerHandler handler, int port) {
-        new CallerServer(group, loop, () -> CallerLimits.DEFAULT, handler, _status -> {})
-                .listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), port))
-                .join();
-    }
-
     private static void send(int port) throws InterruptedException {
         int sent = 0;
         for (int tries = 0; tries < TRIES && sent < REQUESTS; tries++) {
--- a/standins/src/main/java/io/heatherloft/standins/platform/RunnerStandIn.java
+++ b/standins/src/main/java/io/heatherloft/standins/platform/RunnerStandIn.java
@@ -12,6 +12,7 @@
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.List;
+import java.util.Optional;
 
 /**
  * A small stand-in of a backend server on the users' platform.
@@ -32,7 +33,7 @@
     private final int events;
     private final Deque<Act> acts = new ArrayDeque<>();
     private final List<CallerRequest> received = new ArrayList<>();
-    private final List<CallerRequest> ran = new ArrayList<>();
+    private final List<Run> ran = new ArrayList<>();
     private int confidence = 90;
     private int callersLeft;
 
@@ -67,6 +68,14 @@
         ANSWER_ANOTHER
     }
 
+    /**
+     * A request that was not refused.
+     *
+     * @param workspace workspace that the router named
+     * @param keyPassedOn true if the caller's key came with it
+     */
+    public record Run(String requestId, Optional<String> workspace, boolean keyPassedOn) {}
+
     /** Sets what happens to the next requests, in order; later ones are answered. */
     public void next(Act... newActs) {
         acts.addAll(List.of(newActs));
@@ -88,7 +97,7 @@
     }
 
     /** Returns the requests that were not refused, in order. */
-    public List<CallerRequest> ran() {
+    public List<Run> ran() {
         return ran;
     }
 
@@ -116,7 +125,10 @@
         });
         Act act = acts.isEmpty() ? Act.ANSWER : acts.poll();
         if (act != Act.REFUSE) {
-            ran.add(request);
+            ran.add(new Run(
+                    request.headers().get(PlatformExample.REQUEST_ID, ""),
+                    Optional.ofNullable(request.headers().get("X-Tenant-Name")),
+                    request.headers().contains("Authorization")));
         }
         if (act == Act.DELAY) {
             loop.schedule(DELAY_MILLIS, () -> act(request, exchange, act));
@@ -128,8 +140,8 @@
     private void act(CallerRequest request, CallerExchange exchange, Act act) {
         HttpHeaders headers = new DefaultHttpHeaders();
         headers.set(
-                "X-Attempt-Id",
-                act == Act.ANSWER_ANOTHER ? "other" : request.headers().get("X-Attempt-Id", ""));
+                PlatformExample.REQUEST_ID,
+                act == Act.ANSWER_ANOTHER ? "other" : request.headers().get(PlatformExample.REQUEST_ID, ""));
         headers.set("X-Runner-Id", id);
         headers.set("Keep-Alive", "timeout=5");
         switch (act) {
@@ -140,11 +152,11 @@
             case LOSE_ANSWER -> exchange.breakOff();
             case SILENCE -> {}
             case FAIL -> {
-                headers.set("X-Runner-Seal", id + ".seal");
+                headers.set(PlatformExample.SEAL, id + ".seal");
                 send(exchange, SERVER_ERROR, headers, "failed");
             }
             default -> {
-                headers.set("X-Runner-Seal", id + ".seal");
+                headers.set(PlatformExample.SEAL, id + ".seal");
                 if (request.headers().contains("X-Token-Count")) {
                     headers.set("X-Hint-Confidence", confidence);
                     stream(request, exchange, headers, act == Act.BREAK_STREAM);
--- /dev/null
+++ b/standins/src/main/java/io/heatherloft/standins/platform/StandInLoop.java
@@ -0,0 +1,63 @@
+package io.heatherloft.standins.platform;
+
+import io.heatherloft.domain.route.CallerLimits;
+import io.heatherloft.ports.loop.Loop;
+import io.heatherloft.router.NettyLoop;
+import io.heatherloft.router.http.CallerHandler;
+import io.heatherloft.router.http.CallerServer;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+
+/**
+ * The loop on which stand-ins run, at loopback ports of their own.
+ *
+ * <p>May be used by any thread but the loop's; the stand-ins themselves are reached through {@link #call}.
+ */
+public final class StandInLoop implements AutoCloseable {
+    private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final Loop loop = new NettyLoop(group.next());
+
+    /** Returns the loop. */
+    public Loop loop() {
+        return loop;
+    }
+
+    /** Returns the group of the loop's thread. */
+    public EventLoopGroup group() {
+        return group;
+    }
+
+    /** Serves a stand-in at a loopback port, 0 for any, and returns the port. */
+    public int listen(CallerHandler handler, int port) {
+        CallerServer server = new CallerServer(group, loop, () -> CallerLimits.DEFAULT, handler, _status -> {});
+        server.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), port))
+                .join();
+        return server.port();
+    }
+
+    /** Runs a task on the loop and waits for its result. */
+    public <T> T call(Supplier<T> task) {
+        CompletableFuture<T> result = new CompletableFuture<>();
+        loop.execute(() -> result.complete(task.get()));
+        return result.join();
+    }
+
+    /** Runs a task on the loop and waits until it has run. */
+    public void run(Runnable task) {
+        boolean _done = call(() -> {
+            task.run();
+            return true;
+        });
+    }
+
+    @Override
+    public void close() {
+        io.netty.util.concurrent.Future<?> _ended = group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
+    }
+}
--- a/standins/src/main/java/io/heatherloft/standins/platform/StoreStandIn.java
+++ b/standins/src/main/java/io/heatherloft/standins/platform/StoreStandIn.java
@@ -28,6 +28,7 @@
  */
 public final class StoreStandIn implements CallerHandler {
     private static final ObjectMapper JSON = new ObjectMapper();
+    private static final String BACKENDS = "servers/";
     private static final int OK = 200;
     private static final int NOT_FOUND = 404;
     private static final int GONE = 410;
@@ -86,6 +87,21 @@
         }
     }
 
+    /** Writes the configuration as an operator does. */
+    public void putConfiguration(String value) {
+        put("op/config", value);
+    }
+
+    /** Writes the entry of a backend server. */
+    public void putBackend(String id, String value) {
+        put(BACKENDS + id, value);
+    }
+
+    /** Deletes the entry of a backend server. */
+    public void deleteBackend(String id) {
+        delete(BACKENDS + id);
+    }
+
     /** Forgets the history, so that watches that are behind must start anew. */
     public void dropHistory() {
         history.clear();
