Dispatch lines name the session and the reason for its version; stages of a rollout are logged

Change: 'dispatch' has 'session' and 'version_reason', each host logs 'rollout_stage' when it enters a stage. VersionPolicy returns the reason with the versions; which versions it returns is as before (tests of domain, router, platform, entry pass with their assertions unchanged).

--- a/domain/src/main/java/io/heatherloft/domain/rollout/RolloutPlan.java
+++ b/domain/src/main/java/io/heatherloft/domain/rollout/RolloutPlan.java
@@ -19,17 +19,41 @@
 
     private RolloutPlan() {}
 
-    /** Returns the share of sessions that the new version runs, from 0 to 1. */
-    public static double shareAt(long elapsedMillis, long durationMillis) {
+    /** Stages of the schedule, in order. The names appear in the log. */
+    public enum Stage {
+        /** The order spreads to all hosts, and the new version gets no requests. */
+        WAITING,
+        /** The new version gets a small share of the sessions. */
+        CANARY,
+        /** The share rises, and sessions may move to the new version. */
+        RAMP,
+        /** The new version gets all requests. */
+        TARGET_ONLY
+    }
+
+    /** Returns the stage of the schedule. */
+    public static Stage stageAt(long elapsedMillis, long durationMillis) {
         double progress = (double) elapsedMillis / durationMillis;
         if (progress < CANARY_START) {
-            return 0;
+            return Stage.WAITING;
         }
         if (progress < RAMP_START) {
-            return CANARY_SHARE;
+            return Stage.CANARY;
         }
-        double rampProgress = (progress - RAMP_START) / (RAMP_END - RAMP_START);
-        return Math.min(1, CANARY_SHARE + rampProgress * (1 - CANARY_SHARE));
+        return progress < RAMP_END ? Stage.RAMP : Stage.TARGET_ONLY;
+    }
+
+    /** Returns the share of sessions that the new version runs, from 0 to 1. */
+    public static double shareAt(long elapsedMillis, long durationMillis) {
+        return switch (stageAt(elapsedMillis, durationMillis)) {
+            case WAITING -> 0;
+            case CANARY -> CANARY_SHARE;
+            case RAMP -> {
+                double progress = (double) elapsedMillis / durationMillis;
+                yield CANARY_SHARE + (progress - RAMP_START) / (RAMP_END - RAMP_START) * (1 - CANARY_SHARE);
+            }
+            case TARGET_ONLY -> 1;
+        };
     }
 
     /**
--- a/router/src/main/java/io/heatherloft/router/fleet/RolloutController.java
+++ b/router/src/main/java/io/heatherloft/router/fleet/RolloutController.java
@@ -40,6 +40,7 @@
     private final Set<String> pendingStateWrites = new HashSet<>();
     private final Set<String> pendingProgressWrites = new HashSet<>();
     private final Map<String, Long> nextStateWriteMillis = new HashMap<>();
+    private final Map<String, RolloutPlan.Stage> loggedStages = new HashMap<>();
     private Loop.Cancellation tickTimer = () -> {};
 
     /**
@@ -82,6 +83,7 @@
         recordProgress(policy, rollout);
         long elapsed = rollout.planElapsedMillis(loop.nowMillis());
         long duration = rollout.order().durationMillis();
+        logStageChange(rollout, RolloutPlan.stageAt(elapsed, duration));
         if (rollout.decision().isEmpty() && rollout.target().isWorseThan(rollout.previous())) {
             policy.decide(RolloutState.Phase.REVERTED);
             logDecision(rollout, "reverted");
@@ -127,6 +129,16 @@
                 });
     }
 
+    private void logStageChange(VersionPolicy.Rollout rollout, RolloutPlan.Stage stage) {
+        String service = rollout.order().service();
+        if (loggedStages.put(service, stage) != stage) {
+            log.stateChange("rollout_stage", line -> line.with("service", service)
+                    .with("order_revision", rollout.orderRevision())
+                    .with("elapsed_ms", rollout.elapsedMillis(loop.nowMillis()))
+                    .with("outcome", stage.name()));
+        }
+    }
+
     private void logDecision(VersionPolicy.Rollout rollout, String outcome) {
         log.stateChange(
                 "rollout_verdict", line -> line.with("service", rollout.order().service())
--- a/router/src/main/java/io/heatherloft/router/fleet/VersionPolicy.java
+++ b/router/src/main/java/io/heatherloft/router/fleet/VersionPolicy.java
@@ -130,46 +130,46 @@
         return rollout;
     }
 
-    /** Returns the versions allowed for a request, in order of preference: the first one with a usable server runs it. */
-    public List<String> preferredVersions(
+    /** Returns the versions that may run a request and the reason for their order. */
+    public VersionPreference preference(
             Optional<String> session, String requestId, Set<String> present, long nowMillis) {
         List<String> usable = present.stream()
                 .filter(version -> !revertedVersions.contains(version))
                 .sorted()
                 .toList();
         if (rollout.isEmpty()) {
-            return versionsWithoutRollout(usable, nowMillis);
+            return new VersionPreference(versionsWithoutRollout(usable, nowMillis), Reason.NO_ROLLOUT);
         }
         Rollout current = rollout.get();
         String target = current.order.target();
         List<String> previous =
                 usable.stream().filter(version -> !version.equals(target)).toList();
         if (!usable.contains(target)) {
-            return previous;
+            return new VersionPreference(previous, Reason.ONLY_AVAILABLE);
         }
         if (current.decision.isPresent()) {
-            return current.decision.get() == RolloutState.Phase.COMPLETED
-                    ? concat(List.of(target), previous)
-                    : previous;
+            return new VersionPreference(
+                    current.decision.get() == RolloutState.Phase.COMPLETED
+                            ? concat(List.of(target), previous)
+                            : previous,
+                    Reason.DECISION);
         }
         if (previous.isEmpty()) {
-            return List.of(target);
+            return new VersionPreference(List.of(target), Reason.ONLY_AVAILABLE);
         }
-        return runsOnTarget(current, session, requestId, nowMillis) ? concat(List.of(target), previous) : previous;
-    }
-
-    private boolean runsOnTarget(Rollout current, Optional<String> session, String requestId, long nowMillis) {
+        List<String> targetFirst = concat(List.of(target), previous);
         long elapsed = current.planElapsedMillis(nowMillis);
         long duration = current.order.durationMillis();
         Optional<String> last = session.flatMap(name -> sessions.find(service, name, nowMillis));
         if (last.isPresent()) {
-            boolean onTarget = last.get().equals(current.order.target());
+            boolean onTarget = last.get().equals(target);
             if (onTarget || !RolloutPlan.mayMoveSessions(elapsed, duration)) {
-                return onTarget;
+                return new VersionPreference(onTarget ? targetFirst : previous, Reason.SESSION);
             }
         }
-        long hash = StableHash.of(service + '/' + current.order.target(), session.orElse(requestId));
-        return StableHash.toUnitInterval(hash) < RolloutPlan.shareAt(elapsed, duration);
+        long hash = StableHash.of(service + '/' + target, session.orElse(requestId));
+        boolean inShare = StableHash.toUnitInterval(hash) < RolloutPlan.shareAt(elapsed, duration);
+        return new VersionPreference(inShare ? targetFirst : previous, Reason.SHARE);
     }
 
     private List<String> versionsWithoutRollout(List<String> usable, long nowMillis) {
@@ -195,6 +195,28 @@
                 .toList();
     }
 
+    /**
+     * Versions that may run a request.
+     *
+     * @param versions in order of preference: the first one with a usable server runs the request
+     * @param reason what determined the first version
+     */
+    public record VersionPreference(List<String> versions, Reason reason) {}
+
+    /** What determines the version of a request. The names appear in the log. */
+    public enum Reason {
+        /** No rollout is in progress. */
+        NO_ROLLOUT,
+        /** Servers of other versions are missing. */
+        ONLY_AVAILABLE,
+        /** The rollout has been completed or reverted. */
+        DECISION,
+        /** The session ran on this version before. */
+        SESSION,
+        /** The share of sessions that the schedule assigns to the target version. */
+        SHARE
+    }
+
     /** A rollout order with its progress and the outcomes of its versions. Confined to the loop's thread. */
     static final class Rollout {
         private final RolloutOrder order;
--- a/router/src/main/java/io/heatherloft/router/request/Attempt.java
+++ b/router/src/main/java/io/heatherloft/router/request/Attempt.java
@@ -5,6 +5,7 @@
 import io.heatherloft.router.backend.ExchangeFailure;
 import io.heatherloft.router.backend.ResponseListener;
 import io.heatherloft.router.fleet.BackendServerState;
+import io.heatherloft.router.fleet.VersionPolicy;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
@@ -29,6 +30,7 @@
 
     private final RequestExecution execution;
     private final BackendServerState server;
+    private final VersionPolicy.Reason versionReason;
     private final int sendNumber;
     private final long sentAtMillis;
     private BackendExchange exchange;
@@ -47,12 +49,18 @@
     /**
      * Creates an attempt.
      *
+     * @param selection server that runs the attempt, and the reason for its version
      * @param pendingPromptTokens prompt tokens that the server has to process before it responds
      */
-    Attempt(RequestExecution execution, BackendServerState server, int sendNumber, long pendingPromptTokens) {
+    Attempt(
+            RequestExecution execution,
+            AttemptBackendSelector.Selection selection,
+            int sendNumber,
+            long pendingPromptTokens) {
         this.pendingPromptTokens = pendingPromptTokens;
         this.execution = execution;
-        this.server = server;
+        this.server = selection.server();
+        this.versionReason = selection.versionReason();
         this.sendNumber = sendNumber;
         this.sentAtMillis = execution.engine().loop().nowMillis();
         this.eventsBeforeAttempt = execution.relay().relayedCount();
@@ -91,6 +99,8 @@
                                 "backend_id", server.entry().id())
                         .with("backend_revision", server.revision())
                         .with("backend_version", server.entry().version())
+                        .with("version_reason", versionReason.name())
+                        .with("session", execution.metadata().session().orElse(""))
                         .with("backend_outstanding", server.outstanding())
                         .with("send", sendNumber)
                         .with("time_left_ms", dispatch.timeLeftMillis())
--- a/router/src/main/java/io/heatherloft/router/request/AttemptBackendSelector.java
+++ b/router/src/main/java/io/heatherloft/router/request/AttemptBackendSelector.java
@@ -6,6 +6,7 @@
 import io.heatherloft.router.fleet.BackendRegistry;
 import io.heatherloft.router.fleet.BackendServerState;
 import io.heatherloft.router.fleet.VersionPolicies;
+import io.heatherloft.router.fleet.VersionPolicy;
 import io.heatherloft.router.peers.HostReports;
 import java.util.List;
 import java.util.Map;
@@ -45,18 +46,18 @@
      * @param triedServers servers that have failed this request; they, and servers of a suspect version, are selected
      *     only if there is no other
      */
-    Optional<BackendServerState> select(String service, RequestMetadata metadata, TriedServers triedServers) {
+    Optional<Selection> select(String service, RequestMetadata metadata, TriedServers triedServers) {
         long now = loop.nowMillis();
         List<BackendServerState> ready = registry.ready(service);
         Set<String> availableVersions =
                 ready.stream().map(server -> server.entry().version()).collect(Collectors.toSet());
-        List<String> preferredVersions = versionPolicies
+        VersionPolicy.VersionPreference preference = versionPolicies
                 .of(service)
-                .preferredVersions(metadata.session(), metadata.attemptId().orElse(""), availableVersions, now);
-        List<BackendServerState> eligible = preferredVersions.stream()
+                .preference(metadata.session(), metadata.attemptId().orElse(""), availableVersions, now);
+        List<BackendServerState> eligible = preference.versions().stream()
                 .filter(version -> !triedServers.isVersionSuspect(version))
                 .findFirst()
-                .or(() -> preferredVersions.stream().findFirst())
+                .or(() -> preference.versions().stream().findFirst())
                 .map(version -> ready.stream()
                         .filter(server -> server.entry().version().equals(version))
                         .toList())
@@ -71,9 +72,17 @@
         return Stream.of(healthy, untried, eligible)
                 .filter(servers -> !servers.isEmpty())
                 .findFirst()
-                .flatMap(servers -> selectAmong(servers, metadata, otherLoads));
+                .flatMap(servers -> selectAmong(servers, metadata, otherLoads))
+                .map(server -> new Selection(server, preference.reason()));
     }
 
+    /**
+     * The server selected for an attempt.
+     *
+     * @param versionReason why its version was preferred; a version that is suspect is passed over whatever the reason
+     */
+    record Selection(BackendServerState server, VersionPolicy.Reason versionReason) {}
+
     private Optional<BackendServerState> selectAmong(
             List<BackendServerState> servers, RequestMetadata metadata, Map<String, Integer> otherLoads) {
         Optional<String> sharedPrefixId = metadata.sharedPrefixId();
--- a/router/src/main/java/io/heatherloft/router/request/RequestExecution.java
+++ b/router/src/main/java/io/heatherloft/router/request/RequestExecution.java
@@ -112,12 +112,13 @@
             fail(RefusalReason.CRASHES_SERVERS);
             return;
         }
-        Optional<BackendServerState> selected = engine.backendSelector().select(service, metadata, triedServers);
+        Optional<AttemptBackendSelector.Selection> selected =
+                engine.backendSelector().select(service, metadata, triedServers);
         if (selected.isEmpty()) {
             fail(RefusalReason.NO_BACKEND);
             return;
         }
-        BackendServerState server = selected.get();
+        BackendServerState server = selected.get().server();
         recordSession(server);
         long pendingPromptTokens = pendingPromptTokens(server);
         metadata.sharedPrefixId().ifPresent(part -> server.recordPrefix(part, metadata.sharedPrefixTokens()));
@@ -125,7 +126,7 @@
         if (sendCount == 1) {
             engine.retryBudget(service).recordRequest();
         }
-        attempt = new Attempt(this, server, sendCount, pendingPromptTokens);
+        attempt = new Attempt(this, selected.get(), sendCount, pendingPromptTokens);
         attempt.send(new DispatchMetadata(
                 server.entry().id(),
                 timeLeftMillis(),
--- a/router/src/test/java/io/heatherloft/router/fleet/VersionPolicyTest.java
+++ b/router/src/test/java/io/heatherloft/router/fleet/VersionPolicyTest.java
@@ -19,7 +19,7 @@
     private final VersionPolicy policy = new VersionPolicy("llm", sessions);
 
     private List<String> preferredVersions(String session, long nowMillis) {
-        return policy.preferredVersions(Optional.of(session), "r", BOTH, nowMillis);
+        return policy.preference(Optional.of(session), "r", BOTH, nowMillis).versions();
     }
 
     @Nested
