--- a/router/src/main/java/io/heatherloft/router/fleet/VersionPolicies.java
+++ b/router/src/main/java/io/heatherloft/router/fleet/VersionPolicies.java
@@ -31,8 +31,9 @@
         return policies.computeIfAbsent(service, name -> new VersionPolicy(name, sessions));
     }
 
-    public SessionVersions sessions() {
-        return sessions;
+    /** Records that a request of a session started or ended on a version. */
+    public void recordSession(String service, String session, String version) {
+        sessions.record(service, session, version, loop.nowMillis());
     }
 
     /** Records a failed request in the outcomes of the service's rollout, if there is one. */
--- a/router/src/main/java/io/heatherloft/router/request/RequestExecution.java
+++ b/router/src/main/java/io/heatherloft/router/request/RequestExecution.java
@@ -139,12 +139,7 @@
     // A session's idle time counts from the end of its last request, so the end is recorded as well as the dispatch.
     private void recordSession(BackendServerState server) {
         metadata.session().ifPresent(session -> engine.versionPolicies()
-                .sessions()
-                .record(
-                        service,
-                        session,
-                        server.entry().version(),
-                        engine.loop().nowMillis()));
+                .recordSession(service, session, server.entry().version()));
     }
 
     private long pendingPromptTokens(BackendServerState server) {
--- /dev/null
+++ b/router/src/test/java/io/heatherloft/router/peers/RolloutSessionsTest.java
@@ -0,0 +1,289 @@
+package io.heatherloft.router.peers;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import com.codahale.metrics.MetricRegistry;
+import io.heatherloft.domain.Bytes;
+import io.heatherloft.domain.rollout.RolloutOrder;
+import io.heatherloft.domain.rollout.RolloutState;
+import io.heatherloft.domain.route.BackendRegistration;
+import io.heatherloft.domain.route.RoutingConfiguration;
+import io.heatherloft.peer.PeerNetwork;
+import io.heatherloft.peer.generated.PeerReply;
+import io.heatherloft.peer.generated.PeerRequest;
+import io.heatherloft.ports.loop.Futures;
+import io.heatherloft.ports.store.KeyValueStore;
+import io.heatherloft.ports.store.StoreValue;
+import io.heatherloft.ports.store.WriteOutcome;
+import io.heatherloft.router.VirtualLoop;
+import io.heatherloft.router.fleet.BackendRegistry;
+import io.heatherloft.router.fleet.FleetView;
+import io.heatherloft.router.fleet.PrefixReplica;
+import io.heatherloft.router.fleet.SessionVersions;
+import io.heatherloft.router.fleet.StoredFormats;
+import io.heatherloft.router.fleet.VersionPolicies;
+import io.heatherloft.router.log.DecisionLog;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.BiConsumer;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.api.Test;
+
+/** Rollouts in fleets whose hosts gossip in virtual time, without a network. */
+final class RolloutSessionsTest {
+    private static final String SERVICE = "llm";
+    private static final String TARGET = "v2";
+    private static final Set<String> VERSIONS = Set.of("v1", TARGET);
+    private static final long ROLLOUT_MILLIS = 24_000L;
+    private static final long SESSION_IDLE_MILLIS = 8_500L;
+    private static final long ORDER_REVISION = 10L;
+    // Callers wait this long for a response.
+    private static final int MAX_REQUEST_MILLIS = 3_000;
+    // Number of requests of sessions that may run on another version than the one before in a rollout.
+    private static final int MAX_MOVED_REQUESTS = 3;
+
+    /** A store that never responds. */
+    private static final class UnresponsiveStore implements KeyValueStore {
+        @Override
+        public CompletableFuture<Optional<StoreValue>> get(String _key) {
+            return new CompletableFuture<>();
+        }
+
+        @Override
+        public CompletableFuture<Listing> list(String _prefix) {
+            return new CompletableFuture<>();
+        }
+
+        @Override
+        public CompletableFuture<WriteOutcome> putIfRevision(
+                String _key, Bytes _value, long _expectedRevision, OptionalLong _leaseId) {
+            return new CompletableFuture<>();
+        }
+
+        @Override
+        public CompletableFuture<WriteOutcome> deleteIfRevision(String _key, long _expectedRevision) {
+            return new CompletableFuture<>();
+        }
+
+        @Override
+        public CompletableFuture<Long> grantLease(long _ttlMillis) {
+            return new CompletableFuture<>();
+        }
+
+        @Override
+        public CompletableFuture<Boolean> keepLeaseAlive(long _leaseId) {
+            return new CompletableFuture<>();
+        }
+
+        @Override
+        public CompletableFuture<Void> revokeLease(long _leaseId) {
+            return new CompletableFuture<>();
+        }
+
+        @Override
+        public Watch watch(String _prefix, long _fromRevision, WatchListener _listener) {
+            return () -> {};
+        }
+    }
+
+    /** Formats of a store that holds nothing but rollout orders. */
+    private static final class OrderFormats implements StoredFormats {
+        @Override
+        public String operatorPrefix() {
+            return "op/";
+        }
+
+        @Override
+        public String configurationKey() {
+            return "op/configuration";
+        }
+
+        @Override
+        public String rolloutOrderPrefix() {
+            return "op/rollout/";
+        }
+
+        @Override
+        public String rolloutStatePrefix() {
+            return "state/";
+        }
+
+        @Override
+        public String backendPrefix() {
+            return "backend/";
+        }
+
+        @Override
+        public String rolloutProgressPrefix() {
+            return "progress/";
+        }
+
+        @Override
+        public RoutingConfiguration readConfiguration(Bytes _value) {
+            throw new UnsupportedOperationException();
+        }
+
+        @Override
+        public BackendRegistration readBackend(String _id, Bytes _value) {
+            throw new UnsupportedOperationException();
+        }
+
+        @Override
+        public RolloutOrder readRolloutOrder(String service, Bytes _value) {
+            return new RolloutOrder(service, TARGET, ROLLOUT_MILLIS);
+        }
+
+        @Override
+        public RolloutState readRolloutState(String _service, Bytes _value) {
+            throw new UnsupportedOperationException();
+        }
+
+        @Override
+        public Bytes writeRolloutState(RolloutState _state) {
+            throw new UnsupportedOperationException();
+        }
+    }
+
+    /** A fleet of hosts in virtual time, and callers whose requests reach any host, as with a balancer. */
+    private static final class Fleet {
+        private final VirtualLoop loop = new VirtualLoop();
+        private final Random random;
+        private final Map<String, PeerNetwork.Handler> handlers = new HashMap<>();
+        private final List<Host> hosts;
+        private int movedRequests;
+        private int requestsOnTarget;
+        private int requests;
+
+        Fleet(int hostCount, long seed) {
+            this.random = new Random(seed);
+            this.hosts = IntStream.range(0, hostCount)
+                    .mapToObj(index -> new Host("h" + index))
+                    .toList();
+            hosts.forEach(host -> loop.schedule(random.nextInt(500), host.gossip::start));
+        }
+
+        /** Delivers the order to each host within the time that its watch of the store takes. */
+        void order() {
+            hosts.forEach(host -> loop.schedule(random.nextInt(200), host::receiveOrder));
+        }
+
+        /** Starts sessions at a constant rate; each has further requests until it has been idle. */
+        void callFor(long millis, int sessionsPerSecond) {
+            int sessions = (int) (millis * sessionsPerSecond / 1_000);
+            IntStream.range(0, sessions)
+                    .forEach(index -> loop.schedule(
+                            (long) (random.nextDouble() * millis),
+                            () -> request("s" + loop.nowMillis() + '-' + index, Optional.empty())));
+            loop.runFor(millis);
+        }
+
+        private void request(String session, Optional<String> versionBefore) {
+            Host host = hosts.get(random.nextInt(hosts.size()));
+            String version = host.versions
+                    .of(SERVICE)
+                    .preference(Optional.of(session), session, VERSIONS, loop.nowMillis())
+                    .versions()
+                    .get(0);
+            requests++;
+            requestsOnTarget += version.equals(TARGET) ? 1 : 0;
+            movedRequests +=
+                    versionBefore.filter(before -> !before.equals(version)).isPresent() ? 1 : 0;
+            host.versions.recordSession(SERVICE, session, version);
+            loop.schedule(1 + random.nextInt(MAX_REQUEST_MILLIS), () -> {
+                host.versions.recordSession(SERVICE, session, version);
+                double pauseMillis = -Math.log(1 - random.nextDouble()) * SESSION_IDLE_MILLIS;
+                if (pauseMillis < SESSION_IDLE_MILLIS) {
+                    loop.schedule((long) pauseMillis, () -> request(session, Optional.of(version)));
+                }
+            });
+        }
+
+        private CompletableFuture<PeerReply> call(String address, PeerRequest request) {
+            CompletableFuture<PeerReply> reply = new CompletableFuture<>();
+            loop.schedule(
+                    networkDelayMillis(),
+                    () -> Futures.onComplete(
+                            handlers.get(address).handle(request),
+                            (received, _failure) ->
+                                    loop.schedule(networkDelayMillis(), () -> reply.complete(received))));
+            return reply;
+        }
+
+        private int networkDelayMillis() {
+            return 1 + random.nextInt(3);
+        }
+
+        /** What a host knows of the rollout, and its gossip. */
+        private final class Host {
+            private final VersionPolicies versions =
+                    new VersionPolicies(loop, new SessionVersions(SESSION_IDLE_MILLIS));
+            private final FleetView view;
+            private final FleetGossip gossip;
+
+            Host(String name) {
+                MetricRegistry metrics = new MetricRegistry();
+                DecisionLog log = new DecisionLog(loop, name, metrics, _line -> true);
+                BackendRegistry registry = new BackendRegistry(loop, log);
+                this.view = new FleetView(
+                        loop, new UnresponsiveStore(), new OrderFormats(), registry, versions, log, metrics);
+                this.gossip = new FleetGossip(
+                        loop,
+                        Fleet.this::call,
+                        view,
+                        registry,
+                        versions,
+                        new HostReports(loop, name),
+                        log,
+                        new Random(random.nextLong()),
+                        name,
+                        name,
+                        List.of("h0", "h1", "h2"));
+                handlers.put(name, gossip);
+            }
+
+            private void receiveOrder() {
+                view.applyFromHost(
+                        "op/",
+                        List.of(new PrefixReplica.Change(
+                                "op/rollout/" + SERVICE, ORDER_REVISION, Optional.of(Bytes.ofText("order")))),
+                        ORDER_REVISION,
+                        false,
+                        "store");
+            }
+        }
+    }
+
+    @Nested
+    final class AFleet {
+        // Incident inc1: a session on the previous version moved to the new one in the first half of the rollout when
+        // its
+        // next request reached a host that did not know it.
+        @Test
+        @Tag("known-red")
+        void keeps_the_version_of_sessions_whose_requests_reach_different_hosts() {
+            List<String> findings = new ArrayList<>();
+            BiConsumer<Integer, Integer> play = (hostCount, sessionsPerSecond) -> {
+                Fleet fleet = new Fleet(hostCount, hostCount);
+                fleet.callFor(12_000, sessionsPerSecond);
+                fleet.order();
+                fleet.callFor(ROLLOUT_MILLIS / 2, sessionsPerSecond);
+                if (fleet.movedRequests > MAX_MOVED_REQUESTS) {
+                    findings.add(hostCount + " hosts: " + fleet.movedRequests + " of " + fleet.requests);
+                }
+                assertThat(fleet.requestsOnTarget).isAtLeast(fleet.requests / 100);
+            };
+            play.accept(6, 40);
+            play.accept(58, 120);
+            assertThat(findings).isEmpty();
+        }
+    }
+}
