Responses in progress count in the verdict on a version once they are overdue

Cause: the verdict on speed was made from ended responses, and the slow ones end last: 33 had ended by then, most of them fast. Class: a statistic over completed work only, which is biased towards the fast (survivorship). Change: each host keeps the expected times of the first and of further events by kind of response. A response counts as overdue when its next event is four times later than expected, in progress or ended; one that the host or the caller gave up counts if it was overdue. Those in progress that are not late count as not overdue. Hosts exchange both counts; a version that is overdue in more than 10 in 100 beyond the previous one by three standard deviations, and at least 6 times, is reverted.

--- a/domain/src/main/java/io/heatherloft/domain/rollout/VersionOutcomes.java
+++ b/domain/src/main/java/io/heatherloft/domain/rollout/VersionOutcomes.java
@@ -7,10 +7,12 @@
  *
  * @param answers number of answers
  * @param failed number of answers that failed
+ * @param speeds times of the answers
+ * @param overdue counts of late answers, including answers in progress
  */
-public record VersionOutcomes(long answers, long failed, SpeedSums speeds) {
+public record VersionOutcomes(long answers, long failed, SpeedSums speeds, OverdueCounts overdue) {
     /** No answers. */
-    public static final VersionOutcomes NONE = new VersionOutcomes(0, 0, SpeedSums.NONE);
+    public static final VersionOutcomes NONE = new VersionOutcomes(0, 0, SpeedSums.NONE, OverdueCounts.NONE);
 
     // Minimum number of failed answers for a verdict, since a healthy version has a few by chance.
     private static final long MIN_FAILED = 5;
@@ -21,17 +23,23 @@
 
     /** Returns the sum of both. */
     public VersionOutcomes plus(VersionOutcomes other) {
-        return new VersionOutcomes(answers + other.answers, failed + other.failed, speeds.plus(other.speeds));
+        return new VersionOutcomes(
+                answers + other.answers, failed + other.failed, speeds.plus(other.speeds), overdue.plus(other.overdue));
     }
 
     /** Returns the outcomes with one more answer. */
     public VersionOutcomes plusAnswer(boolean isFailure) {
-        return new VersionOutcomes(answers + 1, failed + (isFailure ? 1 : 0), speeds);
+        return new VersionOutcomes(answers + 1, failed + (isFailure ? 1 : 0), speeds, overdue);
     }
 
     /** Returns the outcomes with one more answer time, given its ratio to the baseline. */
     public VersionOutcomes plusSpeed(double ratioToBaseline) {
-        return new VersionOutcomes(answers, failed, speeds.plusAnswer(ratioToBaseline));
+        return new VersionOutcomes(answers, failed, speeds.plusAnswer(ratioToBaseline), overdue);
+    }
+
+    /** Returns the outcomes with further counts of late answers. */
+    public VersionOutcomes plusOverdue(OverdueCounts counts) {
+        return new VersionOutcomes(answers, failed, speeds, overdue.plus(counts));
     }
 
     /**
@@ -39,7 +47,9 @@
      * margin.
      */
     public boolean isWorseThan(VersionOutcomes before) {
-        return failsMoreThan(before) || speeds.isSlowerThan(before.speeds);
+        return failsMoreThan(before)
+                || speeds.isSlowerThan(before.speeds)
+                || overdue.isMoreOftenOverdueThan(before.overdue);
     }
 
     private boolean failsMoreThan(VersionOutcomes before) {
--- a/router/src/main/java/io/heatherloft/router/fleet/RolloutController.java
+++ b/router/src/main/java/io/heatherloft/router/fleet/RolloutController.java
@@ -76,6 +76,7 @@
     }
 
     private void tick() {
+        versions.all().forEach(policy -> policy.refreshInProgress(loop.nowMillis()));
         versions.all().forEach(policy -> policy.rollout().ifPresent(rollout -> reconcile(policy, rollout)));
     }
 
@@ -150,6 +151,10 @@
                         .with("before_bad", rollout.previous().failed())
                         .with("target_speed", rollout.target().speeds().toString())
                         .with("before_speed", rollout.previous().speeds().toString())
+                        .with("target_responses", rollout.target().overdue().responses())
+                        .with("target_overdue", rollout.target().overdue().overdue())
+                        .with("before_responses", rollout.previous().overdue().responses())
+                        .with("before_overdue", rollout.previous().overdue().overdue())
                         .with("outcome", outcome));
     }
 
--- a/router/src/main/java/io/heatherloft/router/fleet/VersionPolicies.java
+++ b/router/src/main/java/io/heatherloft/router/fleet/VersionPolicies.java
@@ -39,19 +39,42 @@
         of(service).onSessionServed(session, version, loop.nowMillis());
     }
 
+    /** Adds a response whose progress counts until one of the methods below records its end. */
+    public void onResponseStart(String service, ResponseProgress response) {
+        of(service).onResponseStart(response);
+    }
+
+    /** Removes a response that this host gave up; it counts only if it was overdue. */
+    public void onResponseAbandoned(String service, ResponseProgress response) {
+        of(service).onResponseEnd(response, false, loop.nowMillis());
+    }
+
+    /** Removes a response that no server has run. */
+    public void onNotExecuted(String service, ResponseProgress response) {
+        of(service).onResponseFailure(response);
+    }
+
     /** Records a failed request in the outcomes of the service's rollout, if there is one. */
-    public void recordFailure(String service, String version) {
-        of(service).rollout().ifPresent(rollout -> rollout.record(version, true));
+    public void recordFailure(String service, ResponseProgress response) {
+        VersionPolicy policy = of(service);
+        policy.onResponseFailure(response);
+        policy.rollout().ifPresent(rollout -> rollout.record(response.version(), true));
     }
 
     /**
      * Records a complete response of a version and its speed.
      *
-     * @param kind class of responses with comparable durations
-     * @param millis duration of the response, or of one event of it for kinds whose responses differ in length
+     * @param firstEventMillis time to the first event, or to the end of a response that is not a stream
      */
-    public void recordResponse(String service, String version, String kind, double millis) {
+    public void recordResponse(String service, ResponseProgress response, long firstEventMillis) {
         VersionPolicy policy = of(service);
+        String version = response.version();
+        String kind = response.kind();
+        long events = Math.max(1, response.receivedEvents());
+        long totalMillis = loop.nowMillis() - response.sentAtMillis();
+        // Streams differ in length, so the time is normalized per event, including the time to the first event.
+        double millis = (double) totalMillis / events;
+        policy.onResponseEnd(response, true, loop.nowMillis());
         policy.rollout().ifPresent(rollout -> {
             rollout.record(version, false);
             policy.speedBaseline()
@@ -63,6 +86,7 @@
                 .isPresent();
         if (!underRollout) {
             policy.speedBaseline().record(kind, millis);
+            policy.eventTimeBaseline().record(kind, (double) firstEventMillis, (double) totalMillis, events);
         }
     }
 
@@ -78,6 +102,7 @@
 
     /** Returns the progress of all rollouts on this host. */
     public List<Progress> localProgress(long nowMillis) {
+        policies.values().forEach(policy -> policy.refreshInProgress(nowMillis));
         return policies.values().stream()
                 .flatMap(policy -> policy.rollout().stream())
                 .map(rollout -> new Progress(
--- a/router/src/main/java/io/heatherloft/router/fleet/VersionPolicy.java
+++ b/router/src/main/java/io/heatherloft/router/fleet/VersionPolicy.java
@@ -1,7 +1,9 @@
 package io.heatherloft.router.fleet;
 
 import io.heatherloft.domain.StableHash;
+import io.heatherloft.domain.rollout.EventTimeBaseline;
 import io.heatherloft.domain.rollout.LatencyBaseline;
+import io.heatherloft.domain.rollout.OverdueCounts;
 import io.heatherloft.domain.rollout.RetainedSessions;
 import io.heatherloft.domain.rollout.RolloutOrder;
 import io.heatherloft.domain.rollout.RolloutPlan;
@@ -13,6 +15,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import java.util.Set;
 
@@ -32,6 +35,8 @@
     private final Set<String> revertedVersions = new HashSet<>();
     private Optional<String> currentVersion = Optional.empty();
     private final LatencyBaseline speedBaseline = new LatencyBaseline();
+    private final EventTimeBaseline eventTimeBaseline = new EventTimeBaseline();
+    private final Set<ResponseProgress> responsesInProgress = new HashSet<>();
     private Optional<Rollout> rollout = Optional.empty();
     private Optional<RolloutProgress> newestProgress = Optional.empty();
     private long progressKeyRevision;
@@ -126,6 +131,48 @@
         return stateKeyRevision;
     }
 
+    /** Adds a response whose progress counts until it is removed. */
+    void onResponseStart(ResponseProgress response) {
+        responsesInProgress.add(response);
+    }
+
+    /** Removes a response that ended without a failure; one that was given up counts only if it was overdue. */
+    void onResponseEnd(ResponseProgress response, boolean complete, long nowMillis) {
+        responsesInProgress.remove(response);
+        long elapsedMillis = nowMillis - response.sentAtMillis();
+        // The last event of a complete response has been received, so it is the event before that is compared.
+        long eventsBefore = complete ? Math.max(0, response.receivedEvents() - 1) : response.receivedEvents();
+        boolean overdue = isOverdue(response, eventsBefore, elapsedMillis);
+        if (complete || overdue) {
+            rollout.ifPresent(current -> current.recordOverdue(response.version(), overdue));
+        }
+    }
+
+    /** Removes a response that failed. */
+    void onResponseFailure(ResponseProgress response) {
+        responsesInProgress.remove(response);
+    }
+
+    EventTimeBaseline eventTimeBaseline() {
+        return eventTimeBaseline;
+    }
+
+    private boolean isOverdue(ResponseProgress response, long eventsBefore, long elapsedMillis) {
+        OptionalDouble expected = eventTimeBaseline.expectedMillis(response.kind(), eventsBefore);
+        return expected.isPresent() && OverdueCounts.isOverdue((double) elapsedMillis, expected.getAsDouble());
+    }
+
+    /** Updates the outcomes of the rollout with the responses that are in progress now. */
+    void refreshInProgress(long nowMillis) {
+        rollout.ifPresent(current -> {
+            current.targetInProgress = OverdueCounts.NONE;
+            current.previousInProgress = OverdueCounts.NONE;
+            responsesInProgress.forEach(response -> current.addInProgress(
+                    response.version(),
+                    isOverdue(response, response.receivedEvents(), nowMillis - response.sentAtMillis())));
+        });
+    }
+
     LatencyBaseline speedBaseline() {
         return speedBaseline;
     }
@@ -248,6 +295,8 @@
         private Optional<RolloutState.Phase> decision = Optional.empty();
         private VersionOutcomes target = VersionOutcomes.NONE;
         private VersionOutcomes previous = VersionOutcomes.NONE;
+        private OverdueCounts targetInProgress = OverdueCounts.NONE;
+        private OverdueCounts previousInProgress = OverdueCounts.NONE;
         private final Map<String, VersionOutcomes> remoteTargets = new HashMap<>();
         private final Map<String, VersionOutcomes> remotePrevious = new HashMap<>();
         private final RetainedSessions retained = new RetainedSessions();
@@ -276,20 +325,20 @@
 
         /** Returns the outcomes of the target version on all hosts. */
         VersionOutcomes target() {
-            return remoteTargets.values().stream().reduce(target, VersionOutcomes::plus);
+            return remoteTargets.values().stream().reduce(localTarget(), VersionOutcomes::plus);
         }
 
         /** Returns the outcomes of the previous versions on all hosts. */
         VersionOutcomes previous() {
-            return remotePrevious.values().stream().reduce(previous, VersionOutcomes::plus);
+            return remotePrevious.values().stream().reduce(localPrevious(), VersionOutcomes::plus);
         }
 
         VersionOutcomes localTarget() {
-            return target;
+            return target.plusOverdue(targetInProgress);
         }
 
         VersionOutcomes localPrevious() {
-            return previous;
+            return previous.plusOverdue(previousInProgress);
         }
 
         /** Returns true if the hosts exchange the retained sessions: until the ramp, after which all sessions may move. */
@@ -354,6 +403,23 @@
             }
         }
 
+        void recordOverdue(String version, boolean overdue) {
+            OverdueCounts counts = OverdueCounts.NONE.plusResponse(overdue);
+            if (version.equals(order.target())) {
+                target = target.plusOverdue(counts);
+            } else {
+                previous = previous.plusOverdue(counts);
+            }
+        }
+
+        private void addInProgress(String version, boolean overdue) {
+            if (version.equals(order.target())) {
+                targetInProgress = targetInProgress.plusResponse(overdue);
+            } else {
+                previousInProgress = previousInProgress.plusResponse(overdue);
+            }
+        }
+
         void record(String version, boolean bad) {
             if (version.equals(order.target())) {
                 target = target.plusAnswer(bad);
--- a/router/src/main/java/io/heatherloft/router/peers/FleetGossip.java
+++ b/router/src/main/java/io/heatherloft/router/peers/FleetGossip.java
@@ -2,6 +2,7 @@
 
 import com.google.protobuf.ByteString;
 import io.heatherloft.domain.Bytes;
+import io.heatherloft.domain.rollout.OverdueCounts;
 import io.heatherloft.domain.rollout.SpeedSums;
 import io.heatherloft.domain.rollout.VersionOutcomes;
 import io.heatherloft.domain.route.CrashingRequestDetector;
@@ -227,7 +228,9 @@
                         .setBeforeAnswers(progress.previous().answers())
                         .setBeforeBad(progress.previous().failed())
                         .setTargetSpeed(encode(progress.target().speeds()))
-                        .setBeforeSpeed(encode(progress.previous().speeds()))));
+                        .setBeforeSpeed(encode(progress.previous().speeds()))
+                        .setTargetOverdue(encode(progress.target().overdue()))
+                        .setBeforeOverdue(encode(progress.previous().overdue()))));
         return report.build();
     }
 
@@ -284,11 +287,13 @@
                                 new VersionOutcomes(
                                         counts.getTargetAnswers(),
                                         counts.getTargetBad(),
-                                        decode(counts.getTargetSpeed())),
+                                        decode(counts.getTargetSpeed()),
+                                        decode(counts.getTargetOverdue())),
                                 new VersionOutcomes(
                                         counts.getBeforeAnswers(),
                                         counts.getBeforeBad(),
-                                        decode(counts.getBeforeSpeed())))));
+                                        decode(counts.getBeforeSpeed()),
+                                        decode(counts.getBeforeOverdue())))));
     }
 
     private static io.heatherloft.peer.generated.SpeedSums encode(SpeedSums sums) {
@@ -299,6 +304,17 @@
                 .build();
     }
 
+    private static io.heatherloft.peer.generated.OverdueCounts encode(OverdueCounts counts) {
+        return io.heatherloft.peer.generated.OverdueCounts.newBuilder()
+                .setResponses(counts.responses())
+                .setOverdue(counts.overdue())
+                .build();
+    }
+
+    private static OverdueCounts decode(io.heatherloft.peer.generated.OverdueCounts counts) {
+        return new OverdueCounts(counts.getResponses(), counts.getOverdue());
+    }
+
     private static SpeedSums decode(io.heatherloft.peer.generated.SpeedSums sums) {
         return new SpeedSums(sums.getAnswers(), sums.getSum(), sums.getSumOfSquares());
     }
--- a/router/src/main/java/io/heatherloft/router/request/Attempt.java
+++ b/router/src/main/java/io/heatherloft/router/request/Attempt.java
@@ -5,6 +5,7 @@
 import io.heatherloft.router.backend.ExchangeFailure;
 import io.heatherloft.router.backend.ResponseListener;
 import io.heatherloft.router.fleet.BackendServerState;
+import io.heatherloft.router.fleet.ResponseProgress;
 import io.heatherloft.router.fleet.VersionPolicy;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -21,7 +22,7 @@
  * <p>Invariants: at most one outcome is reported to the {@link RequestExecution}; the attempt counts as outstanding on
  * its server from the send until it ends. Confined to the loop's thread.
  */
-final class Attempt implements ResponseListener {
+final class Attempt implements ResponseListener, ResponseProgress {
     private static final int STATUS_OK = 200;
     private static final long INACTIVITY_CHECK_MILLIS = 250L;
     private static final int STATUS_MISDIRECTED_REQUEST = 421;
@@ -91,6 +92,7 @@
                 EmptyHttpHeaders.INSTANCE);
         latencyGroup = execution.route().name() + '/' + dispatch.model().orElse("");
         server.onRequestStart();
+        execution.engine().versionPolicies().onResponseStart(execution.service(), this);
         server.addPendingPromptTokens(pendingPromptTokens);
         execution
                 .engine()
@@ -140,6 +142,7 @@
         if (!ended) {
             markEnded();
             server.health().recordInconclusive();
+            execution.engine().versionPolicies().onResponseAbandoned(execution.service(), this);
             if (exchange != null) {
                 exchange.cancel();
             }
@@ -225,6 +228,7 @@
             case NOT_EXECUTED -> {
                 markEnded();
                 server.health().recordInconclusive();
+                execution.engine().versionPolicies().onNotExecuted(execution.service(), this);
                 execution.onNotExecuted(this, "status " + status);
             }
             case STREAMED -> onStreamEnd();
@@ -256,6 +260,7 @@
         markEnded();
         if (failure.kind() == ExchangeFailure.Kind.NOT_SENT) {
             server.health().recordUnreachable(execution.engine().loop().nowMillis());
+            execution.engine().versionPolicies().onNotExecuted(execution.service(), this);
         } else {
             recordOutcome(true);
             execution.engine().connectionPool().closeIdle(server.entry().id());
@@ -273,23 +278,35 @@
     }
 
     private void recordOutcome(boolean failed) {
-        String version = server.entry().version();
+        long now = execution.engine().loop().nowMillis();
         if (failed) {
-            server.health().recordFailure(execution.engine().loop().nowMillis());
-            execution.engine().versionPolicies().recordFailure(execution.service(), version);
+            server.health().recordFailure(now);
+            execution.engine().versionPolicies().recordFailure(execution.service(), this);
         } else {
             server.health().recordSuccess();
-            execution
-                    .engine()
-                    .versionPolicies()
-                    .recordResponse(execution.service(), version, latencyGroup, millisPerEvent());
+            long firstEventMillis = timeToFirstEventMillis >= 0 ? timeToFirstEventMillis : now - sentAtMillis;
+            execution.engine().versionPolicies().recordResponse(execution.service(), this, firstEventMillis);
         }
     }
 
-    // Streams differ in length, so the time is normalized per event, including the time to the first event.
-    private double millisPerEvent() {
-        long elapsed = execution.engine().loop().nowMillis() - sentAtMillis;
-        return (double) elapsed / Math.max(1, execution.relay().relayedCount() - eventsBeforeAttempt);
+    @Override
+    public String version() {
+        return server.entry().version();
+    }
+
+    @Override
+    public String kind() {
+        return latencyGroup;
+    }
+
+    @Override
+    public long sentAtMillis() {
+        return sentAtMillis;
+    }
+
+    @Override
+    public long receivedEvents() {
+        return execution.relay().relayedCount() - eventsBeforeAttempt;
     }
 
     private void markEnded() {
