Responses of backend servers that never end are given up

Callers saw: a server that sends bytes without end in a body filled the host's memory (a plain response, or one event of a stream), and kept a request until its deadline: a rejection was acted on only once its body had ended; data that belongs to another request and informational responses were discarded without a limit. Cause: what a response may hold was limited for its head only (16 KB, by the codec). Class: input of a peer without a bound. A stream counts as inactive until a whole event has arrived, not any byte. Evidence: tests with servers that send up to 64 MiB. Endless heads, header lines, blank lines, trailers and chunk extensions were limited before and are tested now.

--- a/entry/src/test/java/io/heatherloft/entry/EntryHostHarness.java
+++ b/entry/src/test/java/io/heatherloft/entry/EntryHostHarness.java
@@ -51,6 +51,11 @@
         return backend;
     }
 
+    /** Registers a backend server that listens at a port of the test's own. */
+    void registerBackend(String service, String id, String version, int port) {
+        onLoop(() -> store.put("servers/" + id, PlatformFixtures.backendEntry(service, port, version)));
+    }
+
     int backendPort(String id) {
         return backendPorts.get(id);
     }
--- a/router/src/main/java/io/heatherloft/router/backend/BackendConnection.java
+++ b/router/src/main/java/io/heatherloft/router/backend/BackendConnection.java
@@ -26,6 +26,9 @@
 final class BackendConnection extends ChannelInboundHandlerAdapter {
     private static final Pattern KEEP_ALIVE_TIMEOUT = Pattern.compile("timeout\\s*=\\s*(\\d{1,6})");
     private static final int FIRST_FINAL_STATUS = 200;
+    // Limits on what is discarded while the response to a request is awaited.
+    private static final int MAX_INFORMATIONAL_RESPONSES = 16;
+    private static final long MAX_DISCARDED_BYTES = 1_048_576L;
     private static final long MILLIS_PER_SECOND = 1_000L;
 
     private final BackendConnectionPool pool;
@@ -42,6 +45,8 @@
     private boolean responseComplete;
     private boolean reusable;
     private boolean discarding;
+    private int informationalResponses;
+    private long discardedBytes;
     private long idleMillis;
     private long idleSinceMillis;
 
@@ -70,6 +75,8 @@
         responseComplete = false;
         reusable = true;
         discarding = false;
+        informationalResponses = 0;
+        discardedBytes = 0;
         if (channel == null) {
             pendingRequest = request;
         } else {
@@ -154,6 +161,10 @@
         }
         if (response.status().code() < FIRST_FINAL_STATUS) {
             discarding = true;
+            informationalResponses++;
+            if (informationalResponses > MAX_INFORMATIONAL_RESPONSES) {
+                fail(ExchangeFailure.Kind.BROKEN, "too many informational responses");
+            }
             return;
         }
         discarding = !active.listener.onHeaders(response.status().code(), response.headers());
@@ -183,6 +194,10 @@
         boolean last = content instanceof LastHttpContent;
         if (discarding) {
             discarding &= !last;
+            discardedBytes += content.content().readableBytes();
+            if (discardedBytes > MAX_DISCARDED_BYTES) {
+                fail(ExchangeFailure.Kind.BROKEN, "too much data that belongs to no request");
+            }
             return;
         }
         ByteBuf chunk = content.content();
--- a/router/src/main/java/io/heatherloft/router/request/Attempt.java
+++ b/router/src/main/java/io/heatherloft/router/request/Attempt.java
@@ -25,6 +25,9 @@
 final class Attempt implements ResponseListener, ResponseProgress {
     private static final int STATUS_OK = 200;
     private static final long INACTIVITY_CHECK_MILLIS = 250L;
+    // A rejection is usually read whole, so that its connection can be used again.
+    private static final long MAX_REJECTION_BODY_MILLIS = 250L;
+    private static final int MAX_REJECTION_BODY_BYTES = 65_536;
     private static final int STATUS_MISDIRECTED_REQUEST = 421;
     private static final int FIRST_REDIRECTION_STATUS = 300;
     private static final int FIRST_SERVER_ERROR_STATUS = 500;
@@ -39,6 +42,7 @@
     private int status;
     private ResponseMode responseMode = ResponseMode.AWAITING_HEADERS;
     private ByteBuf body = Unpooled.EMPTY_BUFFER;
+    private int rejectionBodyBytes;
     private long timeToFirstEventMillis = -1;
     private long lastReceivedMillis;
     private Loop.Cancellation inactivityTimer = () -> {};
@@ -160,6 +164,20 @@
         server.onReceived(lastReceivedMillis);
     }
 
+    private void rejected() {
+        markEnded();
+        server.health().recordInconclusive();
+        execution.engine().versionPolicies().onNotExecuted(execution.service(), this);
+        execution.onNotExecuted(this, "status " + status);
+    }
+
+    private void abandonRejectionBody() {
+        if (!ended) {
+            exchange.cancel();
+            rejected();
+        }
+    }
+
     private void clearPendingPromptTokens() {
         server.addPendingPromptTokens(-pendingPromptTokens);
         pendingPromptTokens = 0;
@@ -178,6 +196,8 @@
         headers = newHeaders;
         if (metadata.notExecuted() || status == STATUS_MISDIRECTED_REQUEST) {
             responseMode = ResponseMode.NOT_EXECUTED;
+            inactivityTimer.cancel();
+            inactivityTimer = execution.engine().loop().schedule(MAX_REJECTION_BODY_MILLIS, this::abandonRejectionBody);
         } else if (status < FIRST_REDIRECTION_STATUS
                 && !(metadata.sealed() && metadata.attemptId().isPresent())) {
             abort("response carries no attempt ID or no seal");
@@ -202,35 +222,49 @@
 
     @Override
     public void onContent(ByteBuf part) {
-        if (responseMode == ResponseMode.BUFFERED) {
-            if (body.capacity() == 0) {
-                body = Unpooled.buffer(part.readableBytes());
+        if (responseMode == ResponseMode.NOT_EXECUTED) {
+            rejectionBodyBytes += part.readableBytes();
+            if (rejectionBodyBytes > MAX_REJECTION_BODY_BYTES) {
+                abandonRejectionBody();
             }
-            body.writeBytes(part);
+        } else if (responseMode == ResponseMode.BUFFERED) {
+            buffer(part);
         } else if (responseMode == ResponseMode.STREAMED) {
+            long relayedBefore = execution.relay().relayedCount();
             execution.relay().accept(part);
-            recordReceived();
+            server.onReceived(execution.engine().loop().nowMillis());
+            if (execution.relay().relayedCount() > relayedBefore) {
+                lastReceivedMillis = execution.engine().loop().nowMillis();
+            }
             if (timeToFirstEventMillis < 0 && execution.relay().relayedCount() > eventsBeforeAttempt) {
                 timeToFirstEventMillis = execution.engine().loop().nowMillis() - sentAtMillis;
             }
             if (execution.relay().hasGap()) {
                 abort("gap in the event IDs of the stream");
+            } else if (execution.relay().hasOversizedEvent()) {
+                abort("event of the stream exceeds its maximum size");
             }
         }
     }
 
+    private void buffer(ByteBuf part) {
+        if (!execution.engine().responseBuffers().tryReserve(body.readableBytes(), part.readableBytes())) {
+            abort("response body exceeds the memory for buffered responses");
+            return;
+        }
+        if (body.capacity() == 0) {
+            body = Unpooled.buffer(part.readableBytes());
+        }
+        body.writeBytes(part);
+    }
+
     @Override
     public void onComplete() {
         if (ended) {
             return;
         }
         switch (responseMode) {
-            case NOT_EXECUTED -> {
-                markEnded();
-                server.health().recordInconclusive();
-                execution.engine().versionPolicies().onNotExecuted(execution.service(), this);
-                execution.onNotExecuted(this, "status " + status);
-            }
+            case NOT_EXECUTED -> rejected();
             case STREAMED -> onStreamEnd();
             case BUFFERED -> {
                 markEnded();
@@ -313,6 +347,7 @@
         ended = true;
         inactivityTimer.cancel();
         clearPendingPromptTokens();
+        execution.engine().responseBuffers().release(body.readableBytes());
         server.onRequestEnd();
     }
 
--- a/router/src/main/java/io/heatherloft/router/request/EventRelay.java
+++ b/router/src/main/java/io/heatherloft/router/request/EventRelay.java
@@ -17,6 +17,8 @@
     private static final byte LINE_FEED = '\n';
     private static final byte CARRIAGE_RETURN = '\r';
 
+    private static final int MAX_EVENT_BYTES = 256 * 1024;
+
     private final Consumer<ByteBuf> sink;
     private ByteBuf pending = Unpooled.buffer();
     private OptionalLong lastEventId;
@@ -57,6 +59,11 @@
         return pending.isReadable();
     }
 
+    /** Returns true if the incomplete event is too long to be an event of a stream. */
+    boolean hasOversizedEvent() {
+        return pending.readableBytes() > MAX_EVENT_BYTES;
+    }
+
     /** Returns true if an event ID was skipped; nothing is relayed after a gap. */
     boolean hasGap() {
         return gapDetected;
--- a/router/src/main/java/io/heatherloft/router/request/RequestEngine.java
+++ b/router/src/main/java/io/heatherloft/router/request/RequestEngine.java
@@ -40,6 +40,7 @@
     private final DecisionLog log;
     private final MetricRegistry metrics;
     private final RetryBudgets retryBudgets;
+    private final ResponseBuffers responseBuffers = new ResponseBuffers();
     private int inProgress;
 
     /** Creates an engine. */
@@ -126,6 +127,10 @@
         return retryBudgets.of(service);
     }
 
+    ResponseBuffers responseBuffers() {
+        return responseBuffers;
+    }
+
     Loop loop() {
         return loop;
     }
--- a/router/src/test/java/io/heatherloft/router/backend/BackendConnectionPoolTest.java
+++ b/router/src/test/java/io/heatherloft/router/backend/BackendConnectionPoolTest.java
@@ -22,9 +22,12 @@
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** The test servers write raw bytes, since HTTP libraries do not produce malformed responses. */
 final class BackendConnectionPoolTest {
@@ -178,6 +181,73 @@
         }
     }
 
+    /** Bytes that a server in trouble sends without end, until the connection is closed. */
+    @Nested
+    final class AnEndlessResponse {
+        private static final int MAX_SENT_BYTES = 64 * 1024 * 1024;
+
+        private final AtomicLong sentBytes = new AtomicLong();
+
+        private BackendEndpoint serverOf(String start, String repeated) throws IOException {
+            String block = repeated.repeat(1 + 8_192 / repeated.length());
+            return server((socket, _number) -> {
+                readRequest(socket);
+                write(socket, start);
+                while (sentBytes.get() < MAX_SENT_BYTES) {
+                    write(socket, block);
+                    sentBytes.addAndGet(block.length());
+                }
+                socket.close();
+            });
+        }
+
+        @ParameterizedTest
+        @ValueSource(strings = {"", "HTTP/1.1 200 OK\r\nX-Attempt-Id: ", "HTTP/1.1 200 "})
+        void of_one_line_in_the_head_is_broken(String start) throws IOException {
+            assertThat(send(serverOf(start, "x"))).isEqualTo("BROKEN");
+            assertThat(sentBytes.get()).isLessThan((long) MAX_SENT_BYTES);
+        }
+
+        @Test
+        void of_header_lines_is_broken() throws IOException {
+            assertThat(send(serverOf("HTTP/1.1 200 OK\r\n", "X-A: b\r\n"))).isEqualTo("BROKEN");
+            assertThat(sentBytes.get()).isLessThan((long) MAX_SENT_BYTES);
+        }
+
+        @Test
+        void of_blank_lines_is_broken() throws IOException {
+            assertThat(send(serverOf("", "\r\n"))).isEqualTo("BROKEN");
+            assertThat(sentBytes.get()).isLessThan((long) MAX_SENT_BYTES);
+        }
+
+        @Test
+        void of_informational_responses_is_broken() throws IOException {
+            assertThat(send(serverOf("", "HTTP/1.1 100 Continue\r\n\r\n"))).isEqualTo("BROKEN");
+            assertThat(sentBytes.get()).isLessThan((long) MAX_SENT_BYTES);
+        }
+
+        @Test
+        void of_trailers_is_broken() throws IOException {
+            String start = HEAD + "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n";
+            assertThat(send(serverOf(start, "X-A: b\r\n"))).isEqualTo("BROKEN");
+            assertThat(sentBytes.get()).isLessThan((long) MAX_SENT_BYTES);
+        }
+
+        @Test
+        void of_a_chunk_extension_is_broken() throws IOException {
+            String start = HEAD + "Transfer-Encoding: chunked\r\n\r\n3;";
+            assertThat(send(serverOf(start, "x"))).isEqualTo("BROKEN");
+            assertThat(sentBytes.get()).isLessThan((long) MAX_SENT_BYTES);
+        }
+
+        @Test
+        void to_another_request_is_broken() throws IOException {
+            assertThat(send(serverOf("HTTP/1.1 200 OK\r\nX-Attempt-Id: other\r\n\r\n", "x")))
+                    .isEqualTo("BROKEN");
+            assertThat(sentBytes.get()).isLessThan((long) MAX_SENT_BYTES);
+        }
+    }
+
     @Nested
     final class AConnection {
         @Test
