--- a/domain/src/main/java/io/heatherloft/domain/rollout/VersionOutcomes.java
+++ b/domain/src/main/java/io/heatherloft/domain/rollout/VersionOutcomes.java
@@ -49,7 +49,7 @@
     public boolean isWorseThan(VersionOutcomes before) {
         return failsMoreThan(before)
                 || speeds.isSlowerThan(before.speeds)
-                || overdue.isMoreOftenOverdueThan(before.overdue);
+                || overdue.isLateMoreOftenThan(before.overdue);
     }
 
     private boolean failsMoreThan(VersionOutcomes before) {
--- a/router/src/main/java/io/heatherloft/router/fleet/RolloutController.java
+++ b/router/src/main/java/io/heatherloft/router/fleet/RolloutController.java
@@ -153,8 +153,10 @@
                         .with("before_speed", rollout.previous().speeds().toString())
                         .with("target_responses", rollout.target().overdue().responses())
                         .with("target_overdue", rollout.target().overdue().overdue())
+                        .with("target_stalled", rollout.target().overdue().stalled())
                         .with("before_responses", rollout.previous().overdue().responses())
                         .with("before_overdue", rollout.previous().overdue().overdue())
+                        .with("before_stalled", rollout.previous().overdue().stalled())
                         .with("outcome", outcome));
     }
 
--- a/router/src/main/java/io/heatherloft/router/fleet/VersionPolicy.java
+++ b/router/src/main/java/io/heatherloft/router/fleet/VersionPolicy.java
@@ -139,14 +139,16 @@
     void onResponseComplete(ResponseProgress response, long nowMillis) {
         responsesInProgress.remove(response);
         boolean overdue = isOverdue(response, response.receivedEvents() - 1, nowMillis);
-        rollout.ifPresent(current -> current.recordOverdue(response.version(), overdue));
+        rollout.ifPresent(
+                current -> current.recordEnded(response.version(), OverdueCounts.NONE.plusResponse(overdue, false)));
     }
 
     /** Removes a response that the host or its caller gave up; it counts only if it was late by then. */
     void onResponseAbandoned(ResponseProgress response, long nowMillis) {
         responsesInProgress.remove(response);
-        if (isLate(response, nowMillis)) {
-            rollout.ifPresent(current -> current.recordOverdue(response.version(), true));
+        OverdueCounts counts = countInProgress(response, nowMillis);
+        if (counts.overdue() > 0 || counts.stalled() > 0) {
+            rollout.ifPresent(current -> current.recordEnded(response.version(), counts));
         }
     }
 
@@ -159,8 +161,9 @@
         return eventTimeBaseline;
     }
 
-    private boolean isLate(ResponseProgress response, long nowMillis) {
-        return response.isStalled() || isOverdue(response, response.receivedEvents(), nowMillis);
+    private OverdueCounts countInProgress(ResponseProgress response, long nowMillis) {
+        boolean overdue = isOverdue(response, response.receivedEvents(), nowMillis);
+        return OverdueCounts.NONE.plusResponse(overdue, response.isStalled());
     }
 
     private boolean isOverdue(ResponseProgress response, long furtherEvents, long nowMillis) {
@@ -180,7 +183,7 @@
             current.targetInProgress = OverdueCounts.NONE;
             current.previousInProgress = OverdueCounts.NONE;
             responsesInProgress.forEach(
-                    response -> current.addInProgress(response.version(), isLate(response, nowMillis)));
+                    response -> current.addInProgress(response.version(), countInProgress(response, nowMillis)));
         });
     }
 
@@ -414,8 +417,7 @@
             }
         }
 
-        void recordOverdue(String version, boolean overdue) {
-            OverdueCounts counts = OverdueCounts.NONE.plusResponse(overdue);
+        void recordEnded(String version, OverdueCounts counts) {
             if (version.equals(order.target())) {
                 target = target.plusOverdue(counts);
             } else {
@@ -423,11 +425,11 @@
             }
         }
 
-        private void addInProgress(String version, boolean overdue) {
+        private void addInProgress(String version, OverdueCounts counts) {
             if (version.equals(order.target())) {
-                targetInProgress = targetInProgress.plusResponse(overdue);
+                targetInProgress = targetInProgress.plus(counts);
             } else {
-                previousInProgress = previousInProgress.plusResponse(overdue);
+                previousInProgress = previousInProgress.plus(counts);
             }
         }
 
--- a/router/src/main/java/io/heatherloft/router/peers/FleetGossip.java
+++ b/router/src/main/java/io/heatherloft/router/peers/FleetGossip.java
@@ -308,11 +308,12 @@
         return io.heatherloft.peer.generated.OverdueCounts.newBuilder()
                 .setResponses(counts.responses())
                 .setOverdue(counts.overdue())
+                .setStalled(counts.stalled())
                 .build();
     }
 
     private static OverdueCounts decode(io.heatherloft.peer.generated.OverdueCounts counts) {
-        return new OverdueCounts(counts.getResponses(), counts.getOverdue());
+        return new OverdueCounts(counts.getResponses(), counts.getOverdue(), counts.getStalled());
     }
 
     private static SpeedSums decode(io.heatherloft.peer.generated.SpeedSums sums) {
