The ramp of a rollout begins at 52% instead of 60% of the time

Cause, from the logs: in the canary phase 4 of 26 sends stalled; the stalls came 0.9 to 1.8 s after sends to servers that already had the load, so the verdict fell 4.1 s after the start of the ramp, when 187 requests had been sent. Ruled out: more weight on what is seen in the canary phase, where the nearly idle version is no slower than the loaded one before it. Change: the ramp takes 30% of the time, so that fewer requests are on their way when the load shows that a version is slow.

--- a/domain/src/main/java/io/heatherloft/domain/rollout/RolloutPlan.java
+++ b/domain/src/main/java/io/heatherloft/domain/rollout/RolloutPlan.java
@@ -11,7 +11,7 @@
  */
 public final class RolloutPlan {
     // Fractions of the rollout's duration.
-    private static final double RAMP_START = 0.60;
+    private static final double RAMP_START = 0.52;
     // A version that is slow only under load is detected some seconds after it has got that load.
     private static final double RAMP_END = 0.82;
     private static final double COMPLETION = 0.90;
