--- a/router/src/main/java/io/heatherloft/router/fleet/VersionPolicy.java
+++ b/router/src/main/java/io/heatherloft/router/fleet/VersionPolicy.java
@@ -28,6 +28,9 @@
     // A new version gets no requests for this time, since its rollout order may not have reached this host yet.
     private static final long ORDER_WAIT_MILLIS = 2_000L;
 
+    // A younger response in progress tells nothing, since it is too early for it to be late.
+    private static final long MIN_COMPARED_AGE_MILLIS = 1_000L;
+
     private final String service;
     private final SessionVersions sessions;
     private final Map<String, Long> firstSeenMillis = new HashMap<>();
@@ -182,8 +185,13 @@
         rollout.ifPresent(current -> {
             current.targetInProgress = OverdueCounts.NONE;
             current.previousInProgress = OverdueCounts.NONE;
-            responsesInProgress.forEach(
-                    response -> current.addInProgress(response.version(), countInProgress(response, nowMillis)));
+            responsesInProgress.forEach(response -> {
+                OverdueCounts counts = countInProgress(response, nowMillis);
+                boolean old = nowMillis - response.sentAtMillis() >= MIN_COMPARED_AGE_MILLIS;
+                if (old || counts.overdue() > 0 || counts.stalled() > 0) {
+                    current.addInProgress(response.version(), counts);
+                }
+            });
         });
     }
 
