--- a/router/src/main/java/io/heatherloft/router/request/Attempt.java
+++ b/router/src/main/java/io/heatherloft/router/request/Attempt.java
@@ -44,6 +44,7 @@
     private ResponseMode responseMode = ResponseMode.AWAITING_HEADERS;
     private ByteBuf body = Unpooled.EMPTY_BUFFER;
     private int rejectionBodyBytes;
+    private long responseStartMillis = -1;
     private long timeToFirstEventMillis = -1;
     private long lastReceivedMillis;
     private Loop.Cancellation inactivityTimer = () -> {};
@@ -197,6 +198,7 @@
         }
         clearPendingPromptTokens();
         recordReceived();
+        responseStartMillis = lastReceivedMillis;
         status = newStatus;
         headers = newHeaders;
         if (metadata.notExecuted() || status == STATUS_MISDIRECTED_REQUEST) {
@@ -312,11 +314,19 @@
                                 "backend_id", server.entry().id())
                         .with("send", sendNumber)
                         .with("waited_ms", execution.engine().loop().nowMillis() - sentAtMillis)
+                        .with("response_ms", responseMillis())
+                        .with("events", receivedEvents())
+                        .with("prompt_parts", execution.metadata().promptPartIds())
                         .with("reason", failure.reason())
                         .with("outcome", failure.kind().name()));
         execution.onFailure(this, failure);
     }
 
+    // Time since the response began; -1 if it has not.
+    private long responseMillis() {
+        return responseStartMillis < 0 ? -1 : execution.engine().loop().nowMillis() - responseStartMillis;
+    }
+
     private void recordOutcome(boolean failed) {
         long now = execution.engine().loop().nowMillis();
         if (failed) {
--- a/router/src/main/java/io/heatherloft/router/request/RequestMetadata.java
+++ b/router/src/main/java/io/heatherloft/router/request/RequestMetadata.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.stream.Collectors;
 
 /**
  * Metadata of a caller's request, read from its headers.
@@ -36,6 +37,11 @@
     /** A segment of a prompt that other requests can share. */
     public record PromptSegment(String id, int tokens) {}
 
+    /** Returns the IDs of the prompt's segments in order, separated by commas. */
+    String promptPartIds() {
+        return promptSegments.stream().map(PromptSegment::id).collect(Collectors.joining(","));
+    }
+
     /** Returns the number of tokens in the prompt prefix that can be shared with other requests. */
     public int sharedPrefixTokens() {
         return promptSegments.stream()
