--- a/entry/src/test/java/io/heatherloft/entry/EntryHostHarness.java
+++ b/entry/src/test/java/io/heatherloft/entry/EntryHostHarness.java
@@ -1,6 +1,7 @@
 package io.heatherloft.entry;
 
 import io.heatherloft.platform.PlatformSettings;
+import io.heatherloft.router.http.CallerServer;
 import io.heatherloft.standins.platform.PlatformFixtures;
 import io.heatherloft.standins.platform.RunnerStandIn;
 import io.heatherloft.standins.platform.StandInLoop;
@@ -15,6 +16,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 
@@ -27,6 +31,7 @@
     static final String API_KEY = "k1";
     private static final long WAIT_LIMIT_MILLIS = 20_000L;
     private static final long POLL_MILLIS = 10L;
+    private static final long BACKEND_RESTART_MILLIS = 200L;
 
     final StoreStandIn store;
     private final StandInLoop loop = new StandInLoop();
@@ -56,6 +61,34 @@
         onLoop(() -> store.put("servers/" + id, PlatformFixtures.backendEntry(service, port, version)));
     }
 
+    /**
+     * Starts a backend server that crashes when it begins to respond to a request with a prompt part, and that starts
+     * again under a new ID, at its old address, shortly after each crash.
+     */
+    RunnerStandIn startBackendCrashingOn(String promptPart, String service, String id) {
+        RunnerStandIn backend = new RunnerStandIn(loop.loop(), id, 8);
+        AtomicReference<CallerServer> server = new AtomicReference<>(loop.newServer(backend));
+        loop.listen(server.get(), 0).join();
+        int port = server.get().port();
+        AtomicInteger crashes = new AtomicInteger();
+        onLoop(() -> {
+            store.put("servers/" + id, PlatformFixtures.backendEntry(service, port, "v1"));
+            backend.crashOnPromptPart(promptPart, () -> {
+                server.get().stopAccepting();
+                server.get().closeIdleConnections();
+                int crash = crashes.incrementAndGet();
+                loop.loop().schedule(BACKEND_RESTART_MILLIS, () -> {
+                    store.delete("servers/" + (crash == 1 ? id : id + '-' + (crash - 1)));
+                    backend.restartAs(id + '-' + crash);
+                    server.set(loop.newServer(backend));
+                    CompletableFuture<Void> _listening = loop.listen(server.get(), port);
+                    store.put("servers/" + id + '-' + crash, PlatformFixtures.backendEntry(service, port, "v1"));
+                });
+            });
+        });
+        return backend;
+    }
+
     int backendPort(String id) {
         return backendPorts.get(id);
     }
--- a/standins/src/main/java/io/heatherloft/standins/platform/PlatformFixtures.java
+++ b/standins/src/main/java/io/heatherloft/standins/platform/PlatformFixtures.java
@@ -88,6 +88,17 @@
         return request("POST", "/plans/north", streamHeaders(id, key, 5_000, "s1"), "hello");
     }
 
+    /**
+     * Returns a streaming request of a session of its own as HTTP/1.1 text.
+     *
+     * @param sharedParts parts of the prompt that precede the request's own, as ID:TOKENS separated by commas
+     */
+    public static String streamRequest(String id, String key, String sharedParts) {
+        Map<String, String> headers = streamHeaders(id, key, 5_000, "session-" + id);
+        headers.put("X-Prompt-Prefix", sharedParts + "," + id + ":250");
+        return request("POST", "/plans/north", headers, "hello " + id);
+    }
+
     /** Returns a request to a plain service as HTTP/1.1 text. */
     public static String plainRequest(String method, String path, String id, String key) {
         return request(method, path, plainHeaders(id, key, 2_000), "");
--- a/standins/src/main/java/io/heatherloft/standins/platform/RunnerStandIn.java
+++ b/standins/src/main/java/io/heatherloft/standins/platform/RunnerStandIn.java
@@ -10,9 +10,12 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Deque;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 
 /**
  * Stand-in for a backend server of the platform.
@@ -27,6 +30,7 @@
     private static final int SERVER_ERROR = 500;
 
     private static final long RESPONSE_DELAY_MILLIS = 450L;
+    private static final long CRASH_DELAY_MILLIS = 5L;
 
     private final Loop loop;
     private String id;
@@ -36,6 +40,10 @@
     private final List<ExecutedRequest> executedRequests = new ArrayList<>();
     private int confidence = 90;
     private int callerDisconnects;
+    private final Set<CallerExchange> openExchanges = new HashSet<>();
+    private Optional<String> crashingPart = Optional.empty();
+    private Runnable crashListener = () -> {};
+    private boolean crashed;
 
     /**
      * Creates a server.
@@ -86,9 +94,29 @@
         this.confidence = newConfidence;
     }
 
-    /** Changes the server's id, as a restart under a new id would. */
+    /** Changes the server's id, as a restart under a new id would; ends a crash. */
     public void restartAs(String newId) {
         id = newId;
+        crashed = false;
+    }
+
+    /**
+     * Makes the server crash when it has begun to respond to a request whose prompt contains a part, other than as its
+     * last one.
+     *
+     * @param listener called when the server crashes, to close its listening socket
+     */
+    public void crashOnPromptPart(String part, Runnable listener) {
+        crashingPart = Optional.of(part);
+        crashListener = listener;
+    }
+
+    /** Breaks off all responses; from now on, no request is executed until the server is restarted. */
+    public void crash() {
+        crashed = true;
+        List.copyOf(openExchanges).forEach(CallerExchange::abort);
+        openExchanges.clear();
+        crashListener.run();
     }
 
     /** Returns the requests addressed to this server's id, in order of arrival; the list is live. */
@@ -108,16 +136,22 @@
 
     @Override
     public void onRequest(CallerRequest request, CallerExchange exchange) {
+        if (crashed) {
+            exchange.abort();
+            return;
+        }
         String expected = request.headers().get("X-Expect-Runner", id);
         if (!expected.equals(id)) {
             send(exchange, MISDIRECTED, new DefaultHttpHeaders(), "");
             return;
         }
         receivedRequests.add(request);
+        openExchanges.add(exchange);
         exchange.setListener(new CallerExchange.Listener() {
             @Override
             public void onCallerDisconnected() {
                 callerDisconnects++;
+                openExchanges.remove(exchange);
             }
 
             @Override
@@ -170,6 +204,11 @@
     private void stream(CallerRequest request, CallerExchange exchange, HttpHeaders headers, boolean abort) {
         headers.set("Content-Type", "text/event-stream");
         exchange.startStream(OK, headers);
+        if (hasCrashingPart(request)) {
+            exchange.sendChunk(Unpooled.copiedBuffer("id: 1\ndata: token 1\n\nid: 2\nda", StandardCharsets.UTF_8));
+            loop.schedule(CRASH_DELAY_MILLIS, this::crash);
+            return;
+        }
         int first = Integer.parseInt(request.headers().get("Last-Event-Id", "0")) + 1;
         int last = abort ? eventsPerStream / 2 : eventsPerStream;
         for (int event = first; event <= last; event++) {
@@ -181,10 +220,19 @@
             loop.schedule(20, exchange::abort);
         } else {
             exchange.endStream();
+            openExchanges.remove(exchange);
         }
     }
 
-    private static void send(CallerExchange exchange, int status, HttpHeaders headers, String text) {
+    private boolean hasCrashingPart(CallerRequest request) {
+        String[] parts = request.headers().get("X-Prompt-Prefix", "").split(",", -1);
+        return Arrays.stream(parts).limit(parts.length - 1L).anyMatch(part -> crashingPart
+                .filter(id -> part.startsWith(id + ':'))
+                .isPresent());
+    }
+
+    private void send(CallerExchange exchange, int status, HttpHeaders headers, String text) {
         exchange.sendResponse(status, headers, Unpooled.copiedBuffer(text, StandardCharsets.UTF_8));
+        openExchanges.remove(exchange);
     }
 }
--- a/standins/src/main/java/io/heatherloft/standins/platform/StandInLoop.java
+++ b/standins/src/main/java/io/heatherloft/standins/platform/StandInLoop.java
@@ -35,12 +35,21 @@
 
     /** Serves a stand-in on a loopback port and returns the port; 0 selects a free one. */
     public int listen(CallerHandler handler, int port) {
-        CallerServer server = new CallerServer(group, loop, () -> CallerLimits.DEFAULT, handler, _status -> {});
-        server.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), port))
-                .join();
+        CallerServer server = newServer(handler);
+        listen(server, port).join();
         return server.port();
     }
 
+    /** Returns a server for a stand-in, to be started by {@link #listen(CallerServer, int)}. */
+    public CallerServer newServer(CallerHandler handler) {
+        return new CallerServer(group, loop, () -> CallerLimits.DEFAULT, handler, _status -> {});
+    }
+
+    /** Starts a server on a loopback port; may be called on the event loop's thread. */
+    public CompletableFuture<Void> listen(CallerServer server, int port) {
+        return server.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), port));
+    }
+
     /** Runs a task on the event loop and blocks until its result is available. */
     public <T> T call(Supplier<T> task) {
         CompletableFuture<T> result = new CompletableFuture<>();
