Requests whose prompts share a part that crashes servers are refused on all hosts

Cause: a decision about a class of requests was made from the identity of single requests. Crashes were counted for the hash of workspace, host name, target and body, and no two of these requests are alike.

Change: a server that crashes within a second of the beginning of a response accuses the parts of its prompt. A part is sound when a server is up two seconds after the beginning of a response with it. The part with the most crashes explains them, so that parts which merely came along are not blocked. A refused connection shows the crash; the host that lost a young response checks that at once. Hosts exchange crashes and sound parts by gossip, in short rounds while there is news, and otherwise only a fingerprint of what they know; a host that starts gets all of it with its first exchange.

--- /dev/null
+++ b/domain/src/test/java/io/heatherloft/domain/route/CrashingPromptDetectorTest.java
@@ -0,0 +1,194 @@
+package io.heatherloft.domain.route;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.heatherloft.domain.route.CrashingPromptDetector.CrashedServer;
+import io.heatherloft.domain.route.CrashingPromptDetector.Prompt;
+import io.heatherloft.domain.route.CrashingPromptDetector.Response;
+import java.util.List;
+import java.util.stream.LongStream;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+final class CrashingPromptDetectorTest {
+    private static final long FIRST_PART = 1;
+    private static final long OTHER_FIRST_PART = 2;
+    private static final long CRASHING_PART = 10;
+    private static final long OTHER_PART = 20;
+    private static final long MINUTE_MILLIS = 60_000;
+
+    private final CrashingPromptDetector detector = new CrashingPromptDetector();
+    private long requests = 1_000;
+
+    private Prompt prompt(long... parts) {
+        requests++;
+        return new Prompt(LongStream.of(parts).boxed().toList(), requests);
+    }
+
+    // A response begins, and its server crashes 60 ms later.
+    private void crash(long server, long startMillis, long... parts) {
+        Response _response = detector.recordResponseStart(server, prompt(parts), startMillis);
+        assertThat(detector.recordInterruption(server, startMillis + 60)).isTrue();
+        int _responses = detector.recordCrash(server, startMillis + 70);
+    }
+
+    private void threeCrashes(long startMillis) {
+        LongStream.range(0, 3)
+                .forEach(index -> crash(100 + index, startMillis + index * 100, FIRST_PART, CRASHING_PART));
+    }
+
+    private void soundResponse(long startMillis, long... parts) {
+        Response _response = detector.recordResponseStart(99, prompt(parts), startMillis);
+        Response _later = detector.recordResponseStart(99, prompt(), startMillis + 3_000);
+    }
+
+    private boolean isBlocked(long nowMillis, long... parts) {
+        return detector.isBlocked(prompt(parts), nowMillis);
+    }
+
+    @Nested
+    final class APart {
+        @Test
+        void is_blocked_after_crashes_of_three_servers_under_different_requests() {
+            soundResponse(0, FIRST_PART);
+            crash(101, 4_000, FIRST_PART, CRASHING_PART);
+            crash(102, 4_100, FIRST_PART, CRASHING_PART);
+            assertThat(isBlocked(4_200, FIRST_PART, CRASHING_PART)).isFalse();
+            crash(103, 4_200, FIRST_PART, CRASHING_PART);
+            assertThat(isBlocked(4_300, OTHER_FIRST_PART, CRASHING_PART)).isTrue();
+            assertThat(isBlocked(4_300, FIRST_PART, OTHER_PART)).isFalse();
+        }
+
+        @Test
+        void is_not_blocked_for_crashes_under_one_request() {
+            Prompt repeated = prompt(CRASHING_PART);
+            LongStream.range(101, 105).forEach(server -> {
+                Response _response = detector.recordResponseStart(server, repeated, server);
+                int _responses = detector.recordCrash(server, server + 50);
+            });
+            assertThat(isBlocked(1_000, CRASHING_PART)).isFalse();
+        }
+
+        @Test
+        void is_tried_again_after_the_quarantine_and_blocked_by_one_more_crash() {
+            soundResponse(0, FIRST_PART);
+            threeCrashes(4_000);
+            long afterQuarantine = 5_000 + CrashingPromptDetector.QUARANTINE_MILLIS;
+            assertThat(isBlocked(4 * MINUTE_MILLIS, CRASHING_PART)).isTrue();
+            assertThat(isBlocked(afterQuarantine, CRASHING_PART)).isFalse();
+            crash(110, afterQuarantine, FIRST_PART, CRASHING_PART);
+            assertThat(isBlocked(afterQuarantine + 1_000, CRASHING_PART)).isTrue();
+        }
+
+        @Test
+        void is_released_by_a_server_that_outlives_the_beginning_of_a_response() {
+            soundResponse(0, FIRST_PART);
+            threeCrashes(4_000);
+            soundResponse(4_400, OTHER_FIRST_PART, CRASHING_PART);
+            assertThat(isBlocked(8_000, CRASHING_PART)).isFalse();
+        }
+
+        @Test
+        void is_not_suspected_of_crashes_soon_after_it_was_sound() {
+            soundResponse(0, FIRST_PART, CRASHING_PART);
+            threeCrashes(4_000);
+            assertThat(isBlocked(5_000, FIRST_PART, CRASHING_PART)).isFalse();
+        }
+
+        @Test
+        void is_suspected_though_a_short_response_was_complete_before_the_crash() {
+            soundResponse(0, FIRST_PART);
+            LongStream.range(0, 3).forEach(index -> {
+                Response _response = detector.recordResponseStart(
+                        100 + index, prompt(FIRST_PART, CRASHING_PART), 4_000 + index * 100);
+                detector.mergeCrashedServer(new CrashedServer(100 + index, 4_060 + index * 100), 4_500);
+            });
+            assertThat(isBlocked(5_000, CRASHING_PART)).isTrue();
+        }
+
+        @Test
+        void is_not_suspected_if_the_response_was_abandoned() {
+            LongStream.range(0, 3).forEach(index -> {
+                Response response = detector.recordResponseStart(100 + index, prompt(CRASHING_PART), 4_000);
+                response.abandon();
+                int _responses = detector.recordCrash(100 + index, 4_050);
+            });
+            assertThat(isBlocked(5_000, CRASHING_PART)).isFalse();
+        }
+    }
+
+    @Nested
+    final class SeveralParts {
+        @Test
+        void of_the_same_crashes_are_blocked_only_together() {
+            threeCrashes(0);
+            assertThat(isBlocked(1_000, FIRST_PART, CRASHING_PART)).isTrue();
+            assertThat(isBlocked(1_000, FIRST_PART, OTHER_PART)).isFalse();
+            crash(105, 1_000, OTHER_FIRST_PART, CRASHING_PART);
+            crash(106, 1_100, OTHER_FIRST_PART, CRASHING_PART);
+            crash(107, 1_200, OTHER_FIRST_PART, CRASHING_PART);
+            assertThat(isBlocked(1_300, 3, CRASHING_PART)).isTrue();
+            assertThat(isBlocked(1_300, FIRST_PART, OTHER_PART)).isFalse();
+        }
+
+        @Test
+        void are_not_blocked_alone_if_they_are_also_part_of_a_response_that_ended_just_before_a_crash() {
+            Response _response = detector.recordResponseStart(100, prompt(FIRST_PART, OTHER_PART), 3_950);
+            threeCrashes(4_000);
+            assertThat(isBlocked(5_000, FIRST_PART, CRASHING_PART)).isTrue();
+            assertThat(isBlocked(5_000, FIRST_PART, OTHER_PART)).isFalse();
+        }
+
+        @Test
+        void of_concurrent_responses_are_not_blocked_for_crashes_that_another_part_explains() {
+            LongStream.range(0, 4).forEach(index -> {
+                if (index < 3) {
+                    Response _response =
+                            detector.recordResponseStart(100 + index, prompt(OTHER_PART), 3_900 + index * 100);
+                }
+                crash(100 + index, 4_000 + index * 100, CRASHING_PART);
+            });
+            assertThat(isBlocked(5_000, CRASHING_PART)).isTrue();
+            assertThat(isBlocked(5_000, OTHER_PART)).isFalse();
+        }
+    }
+
+    @Nested
+    final class AServer {
+        @Test
+        void that_leaves_without_an_interruption_accuses_no_part() {
+            LongStream.range(0, 3).forEach(index -> {
+                Response _response = detector.recordResponseStart(100 + index, prompt(CRASHING_PART), 0);
+                assertThat(detector.recordLeave(100 + index, 100)).isEqualTo(0);
+            });
+            assertThat(isBlocked(1_000, CRASHING_PART)).isFalse();
+        }
+
+        @Test
+        void that_interrupts_responses_and_stays_up_accuses_no_part() {
+            LongStream.range(0, 3).forEach(index -> {
+                Response _response = detector.recordResponseStart(100 + index, prompt(CRASHING_PART), 0);
+                assertThat(detector.recordInterruption(100 + index, 50)).isTrue();
+            });
+            assertThat(isBlocked(1_000, CRASHING_PART)).isFalse();
+            assertThat(detector.fingerprint(1_000)).isEqualTo(0);
+        }
+    }
+
+    @Nested
+    final class Hosts {
+        @Test
+        void with_the_same_records_block_the_same_parts_in_whichever_order_they_received_them() {
+            CrashingPromptDetector other = new CrashingPromptDetector();
+            soundResponse(0, FIRST_PART);
+            threeCrashes(4_000);
+            List<CrashingPromptDetector.Crash> crashes = detector.crashes(64);
+            LongStream.range(0, crashes.size())
+                    .forEach(index -> other.mergeCrash(crashes.get((int) (crashes.size() - 1 - index)), 5_000));
+            detector.soundSuspects(64).forEach(part -> other.mergeSoundPart(part, 5_000));
+            assertThat(other.fingerprint(5_000)).isEqualTo(detector.fingerprint(5_000));
+            assertThat(other.accusations(5_000)).isEqualTo(detector.accusations(5_000));
+            assertThat(other.accusations(5_000)).hasSize(1);
+        }
+    }
+}
--- a/entry/src/test/java/io/heatherloft/entry/CrashingPromptTest.java
+++ b/entry/src/test/java/io/heatherloft/entry/CrashingPromptTest.java
@@ -11,7 +11,6 @@
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Nested;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 
 /** Requests whose prompts share a part that crashes each backend server which begins to respond to it. */
@@ -60,15 +59,14 @@
                 .count());
     }
 
-    // Of the reasons for a refusal, this one alone asks callers to wait for a minute.
+    // Of the reasons for a refusal, this one alone asks callers to wait for five minutes.
     private static boolean isRefusedAsCrashing(String response) {
-        return response.startsWith("HTTP/1.1 503") && response.contains("retry-after: 60");
+        return response.startsWith("HTTP/1.1 503") && response.contains("retry-after: 300");
     }
 
     @Nested
     final class AFleet {
         // Incident BUDGET: requests that shared a part of their prompts, and nothing else, crashed servers without end.
-        @Tag("known-red")
         @Test
         void refuses_requests_with_the_part_on_every_host_and_serves_the_others() {
             startFleet();
--- a/router/src/main/java/io/heatherloft/router/backend/BackendConnection.java
+++ b/router/src/main/java/io/heatherloft/router/backend/BackendConnection.java
@@ -97,7 +97,10 @@
     }
 
     void onConnectFailed(Throwable cause) {
-        fail(ExchangeFailure.Kind.NOT_SENT, "connect failed: " + cause.getMessage());
+        fail(new ExchangeFailure(
+                ExchangeFailure.Kind.NOT_SENT,
+                "connect failed: " + cause.getMessage(),
+                BackendConnectionPool.isRefusal(cause)));
     }
 
     void close() {
@@ -237,11 +240,15 @@
     }
 
     private void fail(ExchangeFailure.Kind kind, String reason) {
+        fail(new ExchangeFailure(kind, reason));
+    }
+
+    private void fail(ExchangeFailure failure) {
         Exchange failed = active;
         active = null;
         close();
         if (failed != null) {
-            failed.listener.onFailure(new ExchangeFailure(kind, reason));
+            failed.listener.onFailure(failure);
         }
     }
 
--- a/router/src/main/java/io/heatherloft/router/backend/BackendConnectionPool.java
+++ b/router/src/main/java/io/heatherloft/router/backend/BackendConnectionPool.java
@@ -5,14 +5,17 @@
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.socket.nio.NioChannelOption;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpDecoderConfig;
+import java.net.ConnectException;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.Deque;
@@ -67,6 +70,25 @@
         return connect(endpoint, request, listener);
     }
 
+    /** Opens and closes a connection to find out whether a server is up; calls the task if it refuses connections. */
+    public void checkUp(BackendEndpoint endpoint, Runnable onRefused) {
+        ChannelFuture connecting = bootstrap
+                .clone()
+                .handler(new ChannelInboundHandlerAdapter())
+                .connect(SocketAddresses.parse(endpoint.address()));
+        connecting.addListener(_done -> {
+            if (connecting.isSuccess()) {
+                ChannelFuture _closed = connecting.channel().close();
+            } else if (isRefusal(connecting.cause())) {
+                onRefused.run();
+            }
+        });
+    }
+
+    static boolean isRefusal(Throwable cause) {
+        return cause instanceof ConnectException && !(cause instanceof ConnectTimeoutException);
+    }
+
     /** Closes the idle connections to a server, for example after a timeout on an active connection to it. */
     public void closeIdle(String serverId) {
         idle.entrySet().stream()
--- a/router/src/main/java/io/heatherloft/router/backend/ExchangeFailure.java
+++ b/router/src/main/java/io/heatherloft/router/backend/ExchangeFailure.java
@@ -4,8 +4,14 @@
  * The reason why an exchange with a backend server did not yield a complete response.
  *
  * <p>Immutable and thread-safe.
+ *
+ * @param refused true if the server's address refused the connection, so that no process listens there
  */
-public record ExchangeFailure(Kind kind, String reason) {
+public record ExchangeFailure(Kind kind, String reason, boolean refused) {
+    /** Creates a failure that is not a refused connection. */
+    public ExchangeFailure(Kind kind, String reason) {
+        this(kind, reason, false);
+    }
 
     /** Whether the backend server may have processed the request. */
     public enum Kind {
--- a/router/src/main/java/io/heatherloft/router/fleet/BackendRegistry.java
+++ b/router/src/main/java/io/heatherloft/router/fleet/BackendRegistry.java
@@ -21,12 +21,14 @@
     private final DecisionLog log;
     private final Map<String, BackendServerState> servers = new HashMap<>();
     private final CrashingRequestDetector crashSuspects = new CrashingRequestDetector();
+    private final CrashingPrompts crashingPrompts;
     private final Map<String, Long> removedRevisions = new HashMap<>();
 
     /** Creates an empty registry. */
     public BackendRegistry(Loop loop, DecisionLog log) {
         this.loop = loop;
         this.log = log;
+        this.crashingPrompts = new CrashingPrompts(loop, log);
     }
 
     /** Adds or updates a server. Ignored if the store revision is not newer than that of the last update or removal. */
@@ -64,6 +66,7 @@
     private void recordServerDown(BackendServerState ended) {
         if (ended != null && !ended.entry().draining()) {
             crashSuspects.recordServerDown(ended.incarnation(), loop.nowMillis());
+            crashingPrompts.onLeave(ended);
         }
     }
 
@@ -72,6 +75,11 @@
         return crashSuspects;
     }
 
+    /** Returns what is known of prompt parts that crash servers. */
+    public CrashingPrompts crashingPrompts() {
+        return crashingPrompts;
+    }
+
     /** Returns the server with an ID. */
     public Optional<BackendServerState> find(String id) {
         return Optional.ofNullable(servers.get(id));
--- /dev/null
+++ b/router/src/main/java/io/heatherloft/router/fleet/CrashingPrompts.java
@@ -0,0 +1,132 @@
+package io.heatherloft.router.fleet;
+
+import io.heatherloft.domain.StableHash;
+import io.heatherloft.domain.route.CrashingPromptDetector;
+import io.heatherloft.domain.route.CrashingPromptDetector.Accusation;
+import io.heatherloft.domain.route.CrashingPromptDetector.Crash;
+import io.heatherloft.domain.route.CrashingPromptDetector.CrashedServer;
+import io.heatherloft.domain.route.CrashingPromptDetector.Prompt;
+import io.heatherloft.domain.route.CrashingPromptDetector.Response;
+import io.heatherloft.domain.route.CrashingPromptDetector.SoundPart;
+import io.heatherloft.ports.loop.Loop;
+import io.heatherloft.router.log.DecisionLog;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.stream.Collectors;
+
+/**
+ * What the fleet knows of prompt parts on which backend servers crash.
+ *
+ * <p>Hosts exchange this knowledge by gossip. Confined to the loop's thread.
+ */
+public final class CrashingPrompts {
+    // New knowledge is urgent until it has had the time to reach every host.
+    private static final long URGENT_MILLIS = 2_000L;
+
+    private final Loop loop;
+    private final DecisionLog log;
+    private final CrashingPromptDetector detector = new CrashingPromptDetector();
+    private Set<Set<Long>> blockedParts = Set.of();
+
+    CrashingPrompts(Loop loop, DecisionLog log) {
+        this.loop = loop;
+        this.log = log;
+    }
+
+    /**
+     * Knowledge that hosts exchange.
+     *
+     * @param crashes crashes of servers on prompt parts
+     * @param servers servers that crashed recently, whatever they were running
+     * @param soundParts parts that other hosts may suspect and that are sound
+     */
+    public record News(List<Crash> crashes, List<CrashedServer> servers, List<SoundPart> soundParts) {}
+
+    /** Returns true if a request must not be sent to a server because of its prompt. */
+    public boolean isBlocked(Prompt prompt) {
+        return detector.isBlocked(prompt, loop.nowMillis());
+    }
+
+    /** Records that a server has begun to respond to a request. */
+    public Response onResponseStart(BackendServerState server, Prompt prompt) {
+        return detector.recordResponseStart(hashOf(server), prompt, loop.nowMillis());
+    }
+
+    /**
+     * Records that a response was interrupted.
+     *
+     * @return true if it should be checked whether the server has crashed
+     */
+    public boolean onInterruption(BackendServerState server) {
+        return detector.recordInterruption(hashOf(server), loop.nowMillis());
+    }
+
+    /** Records that a server refuses connections although it was not to be stopped. */
+    public void onCrash(BackendServerState server) {
+        logCrash(server, detector.recordCrash(hashOf(server), loop.nowMillis()));
+    }
+
+    /** Records that a server was removed from the store, or replaced, without having been drained. */
+    void onLeave(BackendServerState server) {
+        logCrash(server, detector.recordLeave(hashOf(server), loop.nowMillis()));
+    }
+
+    private void logCrash(BackendServerState server, int responses) {
+        if (responses > 0) {
+            log.stateChange("server_crash", line -> line.with(
+                            "backend_id", server.entry().id())
+                    .with("recent_responses", responses)
+                    .with("outcome", "prompts_suspected"));
+        }
+        logChanges();
+    }
+
+    private static long hashOf(BackendServerState server) {
+        return StableHash.of(server.incarnation());
+    }
+
+    /** Returns true if this host has recently learned something that other hosts must learn soon. */
+    public boolean isUrgent() {
+        return loop.nowMillis() - detector.lastChangeMillis() <= URGENT_MILLIS;
+    }
+
+    /** Returns a hash by which two hosts find out whether they know the same; 0 if nothing is known. */
+    public long fingerprint() {
+        return detector.fingerprint(loop.nowMillis());
+    }
+
+    /** Returns what other hosts should know; each list has at most {@code limit} elements. */
+    public News news(int limit) {
+        return new News(detector.crashes(limit), detector.crashedServers(limit), detector.soundSuspects(limit));
+    }
+
+    /** Adds what another host knows. */
+    public void merge(News news) {
+        long now = loop.nowMillis();
+        news.soundParts().forEach(part -> detector.mergeSoundPart(part, now));
+        news.servers().forEach(server -> detector.mergeCrashedServer(server, now));
+        news.crashes().forEach(crash -> detector.mergeCrash(crash, now));
+        logChanges();
+    }
+
+    private void logChanges() {
+        List<Accusation> accusations = detector.accusations(loop.nowMillis());
+        Set<Set<Long>> before = blockedParts;
+        blockedParts = accusations.stream().map(Accusation::parts).collect(Collectors.toSet());
+        accusations.stream()
+                .filter(accusation -> !before.contains(accusation.parts()))
+                .forEach(accusation ->
+                        log.stateChange("prompt_parts", line -> line.with("parts", ids(accusation.parts()))
+                                .with("servers_crashed", accusation.servers())
+                                .with("outcome", "blocked")));
+        Set<Set<Long>> released = new HashSet<>(before);
+        released.removeAll(blockedParts);
+        released.forEach(parts -> log.stateChange(
+                "prompt_parts", line -> line.with("parts", ids(parts)).with("outcome", "released")));
+    }
+
+    private static String ids(Set<Long> parts) {
+        return parts.stream().sorted().map(Long::toHexString).collect(Collectors.joining(","));
+    }
+}
--- a/router/src/main/java/io/heatherloft/router/peers/FleetGossip.java
+++ b/router/src/main/java/io/heatherloft/router/peers/FleetGossip.java
@@ -20,6 +20,7 @@
 import io.heatherloft.ports.loop.Futures;
 import io.heatherloft.ports.loop.Loop;
 import io.heatherloft.router.fleet.BackendRegistry;
+import io.heatherloft.router.fleet.CrashingPrompts;
 import io.heatherloft.router.fleet.FleetView;
 import io.heatherloft.router.fleet.PrefixReplica;
 import io.heatherloft.router.fleet.VersionPolicies;
@@ -35,7 +36,8 @@
  *
  * <p>In each round this host contacts a random other host, requests the store changes that it lacks and sends recent
  * reports. The interval between rounds grows with the number of hosts, so that the traffic per host stays constant;
- * while a rollout waits for the hosts to learn of it, rounds are short and carry few reports.
+ * while a rollout waits for the hosts to learn of it, or a server has just crashed, rounds are short and carry few
+ * reports.
  * Confined to the loop's thread.
  */
 public final class FleetGossip implements PeerNetwork.Handler {
@@ -46,6 +48,8 @@
     private static final int REPORTS_PER_MESSAGE_IN_SHORT_ROUNDS = 2;
     // Limits the size of a report to a few hundred bytes; requests that crash servers are rare.
     private static final int CRASHES_PER_REPORT = 12;
+    // Limits the size of a message to a few kilobytes.
+    private static final int CRASHES_PER_MESSAGE = 64;
 
     private final Loop loop;
     private final PeerNetwork network;
@@ -117,11 +121,15 @@
         long roundMillis = Math.max(MIN_ROUND_MILLIS, ROUND_MILLIS_PER_HOST * reports.hostCount());
         // The timer fires a little late, so a round that is due within half of a period runs now.
         boolean due = loop.nowMillis() + SHORT_ROUND_MILLIS / 2 >= lastRoundMillis + roundMillis;
-        if (due || versions.isRolloutWaiting()) {
+        if (due || isUrgent()) {
             runRound();
         }
     }
 
+    private boolean isUrgent() {
+        return versions.isRolloutWaiting() || registry.crashingPrompts().isUrgent();
+    }
+
     private void runRound() {
         lastRoundMillis = loop.nowMillis();
         choosePeer().ifPresent(this::exchangeWith);
@@ -142,8 +150,9 @@
     }
 
     private void exchangeWith(String peerAddress) {
-        PeerRequest request =
-                PeerRequest.newBuilder().setKnowledge(newMessage(List.of())).build();
+        PeerRequest request = PeerRequest.newBuilder()
+                .setKnowledge(newMessage(List.of(), !crashingPrompts().isUrgent()))
+                .build();
         Futures.onComplete(network.call(peerAddress, request), (reply, failure) -> {
             if (failure == null) {
                 onReply(reply.getKnowledge());
@@ -160,20 +169,32 @@
         KnowledgeExchange received = request.getKnowledge();
         applyRetainedSessions(received);
         applyReports(received);
+        applyCrashes(received);
+        boolean sameCrashes =
+                received.getCrashes().getFingerprint() == crashingPrompts().fingerprint();
         return CompletableFuture.completedFuture(PeerReply.newBuilder()
-                .setKnowledge(newMessage(received.getPrefixesList()))
+                .setKnowledge(newMessage(received.getPrefixesList(), sameCrashes))
                 .build());
     }
 
-    private KnowledgeExchange newMessage(List<PrefixNews> requestedPrefixes) {
+    private CrashingPrompts crashingPrompts() {
+        return registry.crashingPrompts();
+    }
+
+    private KnowledgeExchange newMessage(List<PrefixNews> requestedPrefixes, boolean crashesKnown) {
         KnowledgeExchange.Builder message = KnowledgeExchange.newBuilder().addReports(ownReport());
-        reports.newest(versions.isRolloutWaiting() ? REPORTS_PER_MESSAGE_IN_SHORT_ROUNDS : REPORTS_PER_MESSAGE)
+        reports.newest(isUrgent() ? REPORTS_PER_MESSAGE_IN_SHORT_ROUNDS : REPORTS_PER_MESSAGE)
                 .forEach(message::addReports);
         versions.retainedSessions()
                 .forEach(retained -> message.addRetained(RetainedSessionHashes.newBuilder()
                         .setService(retained.service())
                         .setOrderRevision(retained.orderRevision())
                         .addAllHashes(retained.hashes())));
+        long fingerprint = crashingPrompts().fingerprint();
+        CrashingPrompts.News crashNews = crashingPrompts().news(crashesKnown ? 0 : CRASHES_PER_MESSAGE);
+        if (fingerprint != 0 || !crashNews.servers().isEmpty()) {
+            message.setCrashes(CrashNewsCodec.encode(fingerprint, crashNews, loop.nowMillis()));
+        }
         fleet.replicas().forEach(replica -> {
             PrefixNews.Builder prefixNews =
                     PrefixNews.newBuilder().setPrefix(replica.prefix()).setKnownRevision(replica.knownRevision());
@@ -246,6 +267,7 @@
         // A report may start the canary phase, in which a session that is not known to be retained can move.
         applyRetainedSessions(message);
         applyReports(message);
+        applyCrashes(message);
         if (!connected) {
             connected = true;
             log.lifecycle("dependency_regained", line -> line.with("dependency", "other_hosts")
@@ -266,6 +288,12 @@
                         retained.getService(), retained.getOrderRevision(), retained.getHashesList())));
     }
 
+    private void applyCrashes(KnowledgeExchange message) {
+        if (message.hasCrashes()) {
+            crashingPrompts().merge(CrashNewsCodec.decode(message.getCrashes(), loop.nowMillis()));
+        }
+    }
+
     private void applyReports(KnowledgeExchange message) {
         message.getReportsList().stream().filter(reports::add).forEach(this::applyReport);
     }
--- a/router/src/main/java/io/heatherloft/router/request/Attempt.java
+++ b/router/src/main/java/io/heatherloft/router/request/Attempt.java
@@ -1,5 +1,6 @@
 package io.heatherloft.router.request;
 
+import io.heatherloft.domain.route.CrashingPromptDetector;
 import io.heatherloft.ports.loop.Loop;
 import io.heatherloft.router.backend.BackendExchange;
 import io.heatherloft.router.backend.ExchangeFailure;
@@ -15,6 +16,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpVersion;
+import java.util.Optional;
 import java.util.OptionalLong;
 
 /**
@@ -42,6 +44,7 @@
     private HttpHeaders headers = EmptyHttpHeaders.INSTANCE;
     private int status;
     private ResponseMode responseMode = ResponseMode.AWAITING_HEADERS;
+    private Optional<CrashingPromptDetector.Response> response = Optional.empty();
     private ByteBuf body = Unpooled.EMPTY_BUFFER;
     private int rejectionBodyBytes;
     private long responseStartMillis = -1;
@@ -151,6 +154,7 @@
     void cancel() {
         if (!ended) {
             markEnded();
+            response.ifPresent(CrashingPromptDetector.Response::abandon);
             server.health().recordInconclusive();
             execution.engine().versionPolicies().onResponseAbandoned(execution.service(), this);
             if (exchange != null) {
@@ -213,6 +217,7 @@
                 return true;
             }
             responseMode = ResponseMode.STREAMED;
+            response = execution.crashGuard().onResponseStart(server);
             execution.onStreamStart(this, status, headers);
         } else {
             responseMode = ResponseMode.BUFFERED;
--- a/router/src/main/java/io/heatherloft/router/request/RefusalReason.java
+++ b/router/src/main/java/io/heatherloft/router/request/RefusalReason.java
@@ -21,6 +21,8 @@
     NOT_ACCEPTED(503, 0.3),
     /** The request is blocked because backend servers crashed repeatedly while executing it. */
     CRASHES_SERVERS(503, 60),
+    /** The request is blocked because backend servers crashed on a part of its prompt. */
+    CRASHING_PROMPT(503, 300),
     /** The deadline passed before the request was sent to a backend server. */
     EXPIRED_UNSENT(503, 0.2),
     /** The deadline passed after the request was sent to a backend server. */
--- a/router/src/main/java/io/heatherloft/router/request/RequestExecution.java
+++ b/router/src/main/java/io/heatherloft/router/request/RequestExecution.java
@@ -68,7 +68,8 @@
                 + Math.min(
                         metadata.deadlineMillis().orElse(DEFAULT_DEADLINE_MILLIS),
                         route.timeoutMillis().orElse(Long.MAX_VALUE / 2));
-        this.crashGuard = new CrashGuard(engine.loop(), engine.registry().crashSuspects(), request, keyHolder);
+        this.crashGuard =
+                new CrashGuard(engine.loop(), engine.registry(), engine.connectionPool(), request, metadata, keyHolder);
         this.cascade = new ModelCascade(route.modelsBySize());
         this.relay = new EventRelay(metadata.lastEventId(), this::sendEvent);
     }
@@ -95,6 +96,10 @@
         return route;
     }
 
+    CrashGuard crashGuard() {
+        return crashGuard;
+    }
+
     EventRelay relay() {
         return relay;
     }
@@ -108,8 +113,9 @@
             onDeadline();
             return;
         }
-        if (crashGuard.isBlocked()) {
-            fail(RefusalReason.CRASHES_SERVERS);
+        Optional<RefusalReason> blocked = crashGuard.reasonToBlock();
+        if (blocked.isPresent()) {
+            fail(blocked.get());
             return;
         }
         Optional<AttemptBackendSelector.Selection> selected =
@@ -199,7 +205,7 @@
         }
         triedServers.add(ending.server().entry());
         if (failure.kind() == ExchangeFailure.Kind.NOT_SENT) {
-            crashGuard.onServerUnreachable(ending.server());
+            crashGuard.onNotSent(ending.server(), failure);
             sendCount--;
             connectFailures++;
             if (connectFailures <= MAX_CONNECT_FAILURES) {
--- a/router/src/main/java/io/heatherloft/router/request/RequestMetadata.java
+++ b/router/src/main/java/io/heatherloft/router/request/RequestMetadata.java
@@ -1,8 +1,11 @@
 package io.heatherloft.router.request;
 
+import io.heatherloft.domain.StableHash;
+import io.heatherloft.domain.route.CrashingPromptDetector;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.regex.Pattern;
 import java.util.stream.Collectors;
 
 /**
@@ -29,19 +32,39 @@
         int expectedOutputTokens,
         List<PromptSegment> promptSegments) {
 
+    private static final Pattern HEXADECIMAL_ID = Pattern.compile("[0-9a-fA-F]{1,16}");
+    private static final int HEXADECIMAL = 16;
+
     /** Copies the list of segments. */
     public RequestMetadata {
         promptSegments = List.copyOf(promptSegments);
     }
 
     /** A segment of a prompt that other requests can share. */
-    public record PromptSegment(String id, int tokens) {}
+    public record PromptSegment(String id, int tokens) {
+        // The hash of a hexadecimal ID is its value, so that log lines show the ID.
+        private long hash() {
+            return HEXADECIMAL_ID.matcher(id).matches() ? Long.parseUnsignedLong(id, HEXADECIMAL) : StableHash.of(id);
+        }
+    }
 
     /** Returns the IDs of the prompt's segments in order, separated by commas. */
     String promptPartIds() {
         return promptSegments.stream().map(PromptSegment::id).collect(Collectors.joining(","));
     }
 
+    /** Returns the prompt as hashes of its segments. */
+    CrashingPromptDetector.Prompt prompt() {
+        int shared = Math.max(0, promptSegments.size() - 1);
+        return new CrashingPromptDetector.Prompt(
+                promptSegments.stream().limit(shared).map(PromptSegment::hash).toList(),
+                promptSegments.stream()
+                        .skip(shared)
+                        .mapToLong(PromptSegment::hash)
+                        .findFirst()
+                        .orElse(0));
+    }
+
     /** Returns the number of tokens in the prompt prefix that can be shared with other requests. */
     public int sharedPrefixTokens() {
         return promptSegments.stream()
--- /dev/null
+++ b/router/src/test/java/io/heatherloft/router/peers/CrashingPromptFleetTest.java
@@ -0,0 +1,326 @@
+package io.heatherloft.router.peers;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import com.codahale.metrics.MetricRegistry;
+import io.heatherloft.domain.route.BackendRegistration;
+import io.heatherloft.domain.route.CrashingPromptDetector.Prompt;
+import io.heatherloft.domain.route.CrashingPromptDetector.Response;
+import io.heatherloft.peer.generated.PeerReply;
+import io.heatherloft.peer.generated.PeerRequest;
+import io.heatherloft.ports.loop.Futures;
+import io.heatherloft.router.VirtualLoop;
+import io.heatherloft.router.fleet.BackendRegistry;
+import io.heatherloft.router.fleet.BackendServerState;
+import io.heatherloft.router.fleet.FleetView;
+import io.heatherloft.router.fleet.SessionVersions;
+import io.heatherloft.router.fleet.VersionPolicies;
+import io.heatherloft.router.log.DecisionLog;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+/** Fleets in virtual time, without a network, whose servers crash on one part of a prompt. */
+final class CrashingPromptFleetTest {
+    private static final long CRASHING_PART = 0xbadL;
+    private static final int FIRST_PARTS = 10;
+    private static final int MIDDLE_PARTS = 200;
+    private static final int MAX_SENDS = 3;
+    private static final long CRASH_DELAY_MILLIS = 70L;
+    private static final long SERVER_RESTART_MILLIS = 3_000L;
+    private static final int MAX_RESPONSE_MILLIS = 4_000;
+    // The crashes after which the fleet must have recognized the part, and the time in which all hosts must act on it.
+    private static final int LEARNING_CRASHES = 5;
+    private static final long STABLE_WINDOW_MILLIS = 3_000L;
+    private static final int MAX_LATE_ARRIVALS = 3;
+
+    /** Hosts and servers, and callers whose requests reach any host. */
+    private static final class Fleet {
+        private final VirtualLoop loop = new VirtualLoop();
+        private final Random random;
+        private final Map<String, FleetGossip> gossips = new HashMap<>();
+        private final List<Host> hosts = new ArrayList<>();
+        private final List<Server> servers = new ArrayList<>();
+        private int serversStarted;
+        private int promptCrashes;
+        private int lateArrivals;
+        private int soundRequests;
+        private int soundRefused;
+        private long learnedByMillis = Long.MAX_VALUE;
+
+        Fleet(int hostCount, int serverCount, long seed) {
+            this.random = new Random(seed);
+            IntStream.range(0, hostCount).forEach(index -> hosts.add(new Host("h" + index)));
+            IntStream.range(0, serverCount).forEach(_index -> servers.add(new Server()));
+            hosts.forEach(host -> loop.schedule(random.nextInt(500), host.gossip::start));
+            loop.runFor(5_000);
+        }
+
+        /** Sends requests for a time, with constant rates. */
+        void callFor(long millis, int soundPerSecond, double crashingPerSecond) {
+            schedule(millis, soundPerSecond, () -> new Call(false).send());
+            schedule(millis, crashingPerSecond, () -> new Call(true).send());
+            loop.runFor(millis);
+        }
+
+        /** Crashes random servers, whatever they run. */
+        void crashServers(long millis, double perSecond) {
+            schedule(millis, perSecond, () -> {
+                Server server = servers.get(random.nextInt(servers.size()));
+                if (server.up) {
+                    server.crash();
+                }
+            });
+        }
+
+        private void schedule(long millis, double perSecond, Runnable task) {
+            IntStream.range(0, (int) (millis * perSecond / 1_000))
+                    .forEach(_index -> loop.schedule((long) (random.nextDouble() * millis), task));
+        }
+
+        /** Replaces a host by one that knows nothing, and returns it. */
+        Host restart(int index) {
+            hosts.get(index).gossip.stop();
+            Host started = new Host(hosts.get(index).name);
+            servers.forEach(started::learn);
+            started.gossip.start();
+            hosts.set(index, started);
+            return started;
+        }
+
+        private CompletableFuture<PeerReply> call(String address, PeerRequest request) {
+            CompletableFuture<PeerReply> reply = new CompletableFuture<>();
+            loop.schedule(
+                    networkDelayMillis(),
+                    () -> Futures.onComplete(
+                            gossips.get(address).handle(request),
+                            (received, _failure) ->
+                                    loop.schedule(networkDelayMillis(), () -> reply.complete(received))));
+            return reply;
+        }
+
+        private int networkDelayMillis() {
+            return 1 + random.nextInt(3);
+        }
+
+        /** A request, sent to a server up to three times. */
+        private final class Call {
+            private final boolean crashing;
+            private final Prompt prompt;
+            private final Host host = hosts.get(random.nextInt(hosts.size()));
+            private int sends;
+
+            Call(boolean crashing) {
+                this.crashing = crashing;
+                List<Long> parts = new ArrayList<>();
+                parts.add(1L + random.nextInt(FIRST_PARTS));
+                // Some middle parts are much rarer than others.
+                parts.add(1_000L + (long) (MIDDLE_PARTS * Math.pow(random.nextDouble(), 3)));
+                if (crashing) {
+                    parts.add(CRASHING_PART);
+                }
+                this.prompt = new Prompt(parts, random.nextLong());
+                soundRequests += crashing ? 0 : 1;
+            }
+
+            void send() {
+                if (host.registry.crashingPrompts().isBlocked(prompt)) {
+                    soundRefused += crashing || sends > 0 ? 0 : 1;
+                    return;
+                }
+                if (sends == MAX_SENDS) {
+                    return;
+                }
+                sends++;
+                Server server = servers.get(random.nextInt(servers.size()));
+                if (!server.up) {
+                    server.stateAt(host)
+                            .ifPresent(state -> host.registry.crashingPrompts().onCrash(state));
+                    loop.schedule(networkDelayMillis(), this::send);
+                    return;
+                }
+                if (crashing && loop.nowMillis() > learnedByMillis) {
+                    lateArrivals++;
+                }
+                server.run(this);
+            }
+        }
+
+        /** A backend server, which starts again under a new ID after each crash. */
+        private final class Server {
+            private final List<Runnable> interruptions = new ArrayList<>();
+            private String id = "";
+            private boolean up;
+
+            Server() {
+                start();
+            }
+
+            private void start() {
+                serversStarted++;
+                id = "s" + serversStarted;
+                up = true;
+                hosts.forEach(host -> loop.schedule(random.nextInt(200), () -> host.learn(this)));
+            }
+
+            private Optional<BackendServerState> stateAt(Host host) {
+                return host.registry.find(id);
+            }
+
+            void run(Call call) {
+                String runningId = id;
+                loop.schedule(10 + random.nextInt(90), () -> {
+                    if (!up || !id.equals(runningId)) {
+                        loop.schedule(networkDelayMillis(), call::send);
+                    } else if (stateAt(call.host).isPresent()) {
+                        respond(call, stateAt(call.host).get());
+                    }
+                });
+            }
+
+            private void respond(Call call, BackendServerState state) {
+                Response _started = call.host.registry.crashingPrompts().onResponseStart(state, call.prompt);
+                Runnable interruption =
+                        () -> loop.schedule(networkDelayMillis(), () -> call.host.interrupt(state, call));
+                interruptions.add(interruption);
+                if (call.crashing) {
+                    loop.schedule(CRASH_DELAY_MILLIS, () -> {
+                        if (interruptions.contains(interruption)) {
+                            crashOnPrompt();
+                        }
+                    });
+                } else {
+                    loop.schedule(1 + random.nextInt(MAX_RESPONSE_MILLIS), () -> interruptions.remove(interruption));
+                }
+            }
+
+            private void crashOnPrompt() {
+                promptCrashes++;
+                if (promptCrashes == LEARNING_CRASHES) {
+                    learnedByMillis = loop.nowMillis() + STABLE_WINDOW_MILLIS;
+                }
+                crash();
+            }
+
+            void crash() {
+                up = false;
+                List<Runnable> interrupted = List.copyOf(interruptions);
+                interruptions.clear();
+                interrupted.forEach(Runnable::run);
+                loop.schedule(SERVER_RESTART_MILLIS, this::start);
+            }
+        }
+
+        /** What a host knows of crashes, and its gossip. */
+        private final class Host {
+            private final String name;
+            private final BackendRegistry registry;
+            private final FleetGossip gossip;
+            private int revision;
+
+            Host(String name) {
+                this.name = name;
+                MetricRegistry metrics = new MetricRegistry();
+                DecisionLog log = new DecisionLog(loop, name, metrics, _line -> true);
+                VersionPolicies versions = new VersionPolicies(loop, new SessionVersions(1_000));
+                this.registry = new BackendRegistry(loop, log);
+                FleetView view = new FleetView(
+                        loop, new UnresponsiveStore(), new OrderFormats("", 0), registry, versions, log, metrics);
+                this.gossip = new FleetGossip(
+                        loop,
+                        Fleet.this::call,
+                        view,
+                        registry,
+                        versions,
+                        new HostReports(loop, name),
+                        log,
+                        new Random(random.nextLong()),
+                        name,
+                        name,
+                        List.of("h0", "h1", "h2"));
+                gossips.put(name, gossip);
+            }
+
+            void learn(Server server) {
+                revision++;
+                registry.update(
+                        new BackendRegistration(server.id, 1L, "llm", "127.0.0.1:1", "a", "v1", 64, false), revision);
+            }
+
+            void interrupt(BackendServerState state, Call call) {
+                if (registry.crashingPrompts().onInterruption(state)) {
+                    loop.schedule(networkDelayMillis(), () -> registry.crashingPrompts()
+                            .onCrash(state));
+                }
+                call.send();
+            }
+
+            boolean isBlocking() {
+                return registry.crashingPrompts().isBlocked(new Prompt(List.of(1L, 1_000L, CRASHING_PART), 7L));
+            }
+        }
+    }
+
+    @Nested
+    final class AFleet {
+        private void blocksTheCrashingPartOnly(int hosts, int servers, int soundPerSecond, double crashingPerSecond) {
+            Fleet fleet = new Fleet(hosts, servers, hosts);
+            fleet.callFor(6_000, soundPerSecond, 0);
+            fleet.callFor(9_000, soundPerSecond, crashingPerSecond);
+            String figures =
+                    hosts + " hosts: " + fleet.promptCrashes + " crashes, " + fleet.lateArrivals + " late arrivals, "
+                            + fleet.soundRefused + " of " + fleet.soundRequests + " sound requests refused";
+            assertWithMessage(figures).that(fleet.promptCrashes).isAtLeast(3);
+            assertWithMessage(figures).that(fleet.lateArrivals).isAtMost(MAX_LATE_ARRIVALS);
+            assertWithMessage(figures).that(fleet.soundRefused).isEqualTo(0);
+            assertWithMessage(figures)
+                    .that(fleet.hosts.stream().allMatch(Fleet.Host::isBlocking))
+                    .isTrue();
+        }
+
+        // Incident BUDGET at three sizes of the fleet: requests that share one part crashed servers without end.
+        @Test
+        void of_6_hosts_blocks_the_part_on_all_of_them() {
+            blocksTheCrashingPartOnly(6, 8, 42, 3);
+        }
+
+        @Test
+        void of_58_hosts_blocks_the_part_on_all_of_them() {
+            blocksTheCrashingPartOnly(58, 78, 290, 6);
+        }
+
+        @Test
+        void of_360_hosts_blocks_the_part_on_all_of_them() {
+            blocksTheCrashingPartOnly(360, 60, 400, 20);
+        }
+
+        // Incident BUDGET: a host that starts later must not need crashes of its own.
+        @Test
+        void tells_a_host_that_starts_later() {
+            Fleet fleet = new Fleet(58, 78, 1);
+            fleet.callFor(20_000, 290, 0);
+            fleet.callFor(15_000, 290, 6);
+            Fleet.Host started = fleet.restart(30);
+            fleet.loop.runFor(20);
+            assertThat(started.isBlocking()).isTrue();
+        }
+
+        // Servers that crash for other reasons accuse no part.
+        @Test
+        void refuses_nothing_while_servers_crash_whatever_they_run() {
+            Fleet fleet = new Fleet(6, 8, 1);
+            fleet.callFor(20_000, 42, 0);
+            fleet.crashServers(60_000, 2);
+            fleet.callFor(60_000, 42, 0);
+            assertThat(fleet.soundRefused).isEqualTo(0);
+        }
+    }
+}
--- a/router/src/test/java/io/heatherloft/router/peers/RolloutSessionsTest.java
+++ b/router/src/test/java/io/heatherloft/router/peers/RolloutSessionsTest.java
@@ -4,23 +4,15 @@
 
 import com.codahale.metrics.MetricRegistry;
 import io.heatherloft.domain.Bytes;
-import io.heatherloft.domain.rollout.RolloutOrder;
-import io.heatherloft.domain.rollout.RolloutState;
-import io.heatherloft.domain.route.BackendRegistration;
-import io.heatherloft.domain.route.RoutingConfiguration;
 import io.heatherloft.peer.PeerNetwork;
 import io.heatherloft.peer.generated.PeerReply;
 import io.heatherloft.peer.generated.PeerRequest;
 import io.heatherloft.ports.loop.Futures;
-import io.heatherloft.ports.store.KeyValueStore;
-import io.heatherloft.ports.store.StoreValue;
-import io.heatherloft.ports.store.WriteOutcome;
 import io.heatherloft.router.VirtualLoop;
 import io.heatherloft.router.fleet.BackendRegistry;
 import io.heatherloft.router.fleet.FleetView;
 import io.heatherloft.router.fleet.PrefixReplica;
 import io.heatherloft.router.fleet.SessionVersions;
-import io.heatherloft.router.fleet.StoredFormats;
 import io.heatherloft.router.fleet.VersionPolicies;
 import io.heatherloft.router.log.DecisionLog;
 import java.util.ArrayList;
@@ -28,7 +20,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
@@ -51,108 +42,6 @@
     // Number of requests of sessions that may run on another version than the one before in a rollout.
     private static final int MAX_MOVED_REQUESTS = 3;
 
-    /** A store that never responds. */
-    private static final class UnresponsiveStore implements KeyValueStore {
-        @Override
-        public CompletableFuture<Optional<StoreValue>> get(String _key) {
-            return new CompletableFuture<>();
-        }
-
-        @Override
-        public CompletableFuture<Listing> list(String _prefix) {
-            return new CompletableFuture<>();
-        }
-
-        @Override
-        public CompletableFuture<WriteOutcome> putIfRevision(
-                String _key, Bytes _value, long _expectedRevision, OptionalLong _leaseId) {
-            return new CompletableFuture<>();
-        }
-
-        @Override
-        public CompletableFuture<WriteOutcome> deleteIfRevision(String _key, long _expectedRevision) {
-            return new CompletableFuture<>();
-        }
-
-        @Override
-        public CompletableFuture<Long> grantLease(long _ttlMillis) {
-            return new CompletableFuture<>();
-        }
-
-        @Override
-        public CompletableFuture<Boolean> keepLeaseAlive(long _leaseId) {
-            return new CompletableFuture<>();
-        }
-
-        @Override
-        public CompletableFuture<Void> revokeLease(long _leaseId) {
-            return new CompletableFuture<>();
-        }
-
-        @Override
-        public Watch watch(String _prefix, long _fromRevision, WatchListener _listener) {
-            return () -> {};
-        }
-    }
-
-    /** Formats of a store that holds nothing but rollout orders. */
-    private static final class OrderFormats implements StoredFormats {
-        @Override
-        public String operatorPrefix() {
-            return "op/";
-        }
-
-        @Override
-        public String configurationKey() {
-            return "op/configuration";
-        }
-
-        @Override
-        public String rolloutOrderPrefix() {
-            return "op/rollout/";
-        }
-
-        @Override
-        public String rolloutStatePrefix() {
-            return "state/";
-        }
-
-        @Override
-        public String backendPrefix() {
-            return "backend/";
-        }
-
-        @Override
-        public String rolloutProgressPrefix() {
-            return "progress/";
-        }
-
-        @Override
-        public RoutingConfiguration readConfiguration(Bytes _value) {
-            throw new UnsupportedOperationException();
-        }
-
-        @Override
-        public BackendRegistration readBackend(String _id, Bytes _value) {
-            throw new UnsupportedOperationException();
-        }
-
-        @Override
-        public RolloutOrder readRolloutOrder(String service, Bytes _value) {
-            return new RolloutOrder(service, TARGET, ROLLOUT_MILLIS);
-        }
-
-        @Override
-        public RolloutState readRolloutState(String _service, Bytes _value) {
-            throw new UnsupportedOperationException();
-        }
-
-        @Override
-        public Bytes writeRolloutState(RolloutState _state) {
-            throw new UnsupportedOperationException();
-        }
-    }
-
     /** A fleet of hosts in virtual time, and callers whose requests reach any host, as with a balancer. */
     private static final class Fleet {
         private final VirtualLoop loop = new VirtualLoop();
@@ -244,7 +133,13 @@
                 DecisionLog log = new DecisionLog(loop, name, metrics, _line -> true);
                 BackendRegistry registry = new BackendRegistry(loop, log);
                 this.view = new FleetView(
-                        loop, new UnresponsiveStore(), new OrderFormats(), registry, versions, log, metrics);
+                        loop,
+                        new UnresponsiveStore(),
+                        new OrderFormats(TARGET, ROLLOUT_MILLIS),
+                        registry,
+                        versions,
+                        log,
+                        metrics);
                 this.gossip = new FleetGossip(
                         loop,
                         Fleet.this::call,
--- a/standins/src/main/java/io/heatherloft/standins/platform/PlatformFixtures.java
+++ b/standins/src/main/java/io/heatherloft/standins/platform/PlatformFixtures.java
@@ -95,7 +95,7 @@
      */
     public static String streamRequest(String id, String key, String sharedParts) {
         Map<String, String> headers = streamHeaders(id, key, 5_000, "session-" + id);
-        headers.put("X-Prompt-Prefix", sharedParts + "," + id + ":250");
+        headers.put("X-Prompt-Prefix", sharedParts + ',' + Integer.toHexString(id.hashCode()) + ":250");
         return request("POST", "/plans/north", headers, "hello " + id);
     }
 
