A stream that ends with its connection before any event is broken off, not empty

Callers got 200 with an empty stream when a server ended after the headers of a response with neither length nor chunks; besides, the host took the response for complete, which clears requests of the suspicion that they crash servers.

Cause: the end of the connection is the end of such a response, and only an incomplete event was taken for a broken one. Without any event there is no incomplete one. ClosingServerTest: before_its_first_event... failed on (no event in the response) and passes now; streams that end after or inside an event already behaved.

--- /dev/null
+++ b/entry/src/test/java/io/heatherloft/entry/ClosingServerTest.java
@@ -0,0 +1,66 @@
+package io.heatherloft.entry;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.List;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+/** Streams of a backend server that end with their connection, beside a server that delimits its responses. */
+final class ClosingServerTest {
+    private static final int EVENTS = 8;
+    // A request reaches each of two servers of equal load within a few tries.
+    private static final int MAX_REQUESTS = 20;
+
+    private final EntryHostHarness harness = new EntryHostHarness();
+
+    @AfterEach
+    void close() {
+        harness.close();
+    }
+
+    private static String events(int count) {
+        return IntStream.rangeClosed(1, count)
+                .mapToObj(event -> "id: " + event + "\ndata: token " + event + "\n\n")
+                .collect(Collectors.joining());
+    }
+
+    // Sends requests until the server has received one, and checks that each response is whole.
+    private void checkResponses(String body) {
+        try (ClosingServer server = new ClosingServer(body)) {
+            harness.registerBackend("llm", "closing", "v1", server.port());
+            harness.startBackend("llm", "llm-1", "v1");
+            EntryHost host = harness.startReadyHost("h-1", EntryHostHarness.freePort(), List.of());
+            harness.awaitBackendCount(host, 2);
+            for (int request = 0; request < MAX_REQUESTS && server.requests() == 0; request++) {
+                String response = harness.sendStreamRequest(host, "r" + request);
+                assertThat(response).startsWith("HTTP/1.1 200");
+                assertThat(response).contains("id: " + EVENTS + "\n");
+                assertThat(response.trim()).endsWith("\r\n0");
+            }
+            assertThat(server.requests()).isGreaterThan(0);
+        }
+    }
+
+    @Nested
+    final class AStreamThatEndsWithItsConnection {
+        @Test
+        void after_an_event_is_complete() {
+            checkResponses(events(EVENTS));
+        }
+
+        @Test
+        void inside_an_event_continues_on_another_server() {
+            checkResponses(events(3) + "id: 4\nda");
+        }
+
+        // A server that crashed after the headers of such a response looked as if it had sent an empty stream.
+        @Test
+        void before_its_first_event_continues_on_another_server() {
+            checkResponses("");
+        }
+    }
+}
--- a/router/src/main/java/io/heatherloft/router/request/Attempt.java
+++ b/router/src/main/java/io/heatherloft/router/request/Attempt.java
@@ -54,6 +54,7 @@
     private final long eventsBeforeAttempt;
     private long pendingPromptTokens;
     private String latencyGroup = "";
+    private boolean contentReceived;
     private boolean stalled;
     private boolean ended;
 
@@ -243,6 +244,7 @@
             buffer(part);
         } else if (responseMode == ResponseMode.STREAMED) {
             long relayedBefore = execution.relay().relayedCount();
+            contentReceived = true;
             execution.relay().accept(part);
             server.onReceived(execution.engine().loop().nowMillis());
             if (execution.relay().relayedCount() > relayedBefore) {
@@ -294,11 +296,21 @@
             onFailure(new ExchangeFailure(ExchangeFailure.Kind.BROKEN, "stream ended inside an incomplete event"));
             return;
         }
+        if (!contentReceived && isDelimitedByConnection()) {
+            onFailure(new ExchangeFailure(ExchangeFailure.Kind.BROKEN, "connection was closed before any event"));
+            return;
+        }
         markEnded();
         recordOutcome(false);
         execution.onStreamEnd(this);
     }
 
+    // Such a response cannot be told from one whose server ended after the headers.
+    private boolean isDelimitedByConnection() {
+        return !headers.contains(HttpHeaderNames.CONTENT_LENGTH)
+                && !headers.contains(HttpHeaderNames.TRANSFER_ENCODING);
+    }
+
     @Override
     public void onFailure(ExchangeFailure failure) {
         if (ended) {
