Blocked prompt parts are recorded in the store, so that a fleet that starts anew knows them

Hosts write the crashes of blocked parts under heatherloft/crashes/ with a lease of ten minutes, after a random delay so that few of them write; the watch of their own keys covers that prefix too.

--- a/entry/src/main/java/io/heatherloft/entry/EntryHost.java
+++ b/entry/src/main/java/io/heatherloft/entry/EntryHost.java
@@ -17,6 +17,7 @@
 import io.heatherloft.router.backend.BackendEndpoint;
 import io.heatherloft.router.backend.ConnectionPoolSettings;
 import io.heatherloft.router.fleet.BackendRegistry;
+import io.heatherloft.router.fleet.CrashRecorder;
 import io.heatherloft.router.fleet.FleetView;
 import io.heatherloft.router.fleet.RolloutController;
 import io.heatherloft.router.fleet.SessionVersions;
@@ -68,6 +69,7 @@
     private final LineQueue logQueue;
     private final FleetView fleetView;
     private final RolloutController rollouts;
+    private final CrashRecorder crashRecorder;
     private final RequestEngine engine;
     private final CallerServer callerServer;
     private final CallerServer readinessServer;
@@ -96,6 +98,8 @@
         this.fleetView = new FleetView(loop, store, formats, registry, versions, log, metrics);
         HostReports reports = new HostReports(loop, settings.hostName());
         this.rollouts = new RolloutController(loop, store, formats, versions, log, reports::hostCount, new Random());
+        this.crashRecorder = new CrashRecorder(
+                loop, store, formats, registry.crashingPrompts(), log, reports::hostCount, new Random());
         this.peerNetwork = new NettyPeerNetwork(group, loop, peerTraffic);
         this.gossip = new FleetGossip(
                 loop,
@@ -210,6 +214,7 @@
         logQueue.start();
         fleetView.start();
         rollouts.start();
+        crashRecorder.start();
         gossip.start();
     }
 
@@ -267,6 +272,7 @@
         }
         log.lifecycle("stopped", line -> line.with("in_progress", engine.inProgress()));
         rollouts.stop();
+        crashRecorder.stop();
         gossip.stop();
         peerNetwork.close();
         fleetView.stop();
--- a/router/src/main/java/io/heatherloft/router/fleet/CrashingPrompts.java
+++ b/router/src/main/java/io/heatherloft/router/fleet/CrashingPrompts.java
@@ -1,6 +1,7 @@
 package io.heatherloft.router.fleet;
 
 import io.heatherloft.domain.StableHash;
+import io.heatherloft.domain.route.CrashRecord;
 import io.heatherloft.domain.route.CrashingPromptDetector;
 import io.heatherloft.domain.route.CrashingPromptDetector.Accusation;
 import io.heatherloft.domain.route.CrashingPromptDetector.Crash;
@@ -12,6 +13,7 @@
 import io.heatherloft.router.log.DecisionLog;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import java.util.stream.Collectors;
 
@@ -23,10 +25,12 @@
 public final class CrashingPrompts {
     // New knowledge is urgent until it has had the time to reach every host.
     private static final long URGENT_MILLIS = 2_000L;
+    private static final int MAX_RECORDED_CRASHES = 64;
 
     private final Loop loop;
     private final DecisionLog log;
     private final CrashingPromptDetector detector = new CrashingPromptDetector();
+    private final Set<String> recorded = new HashSet<>();
     private Set<Set<Long>> blockedParts = Set.of();
 
     CrashingPrompts(Loop loop, DecisionLog log) {
@@ -110,23 +114,44 @@
         logChanges();
     }
 
+    /** Returns the record of parts that are blocked and not recorded in the store. */
+    Optional<CrashRecord> unrecorded() {
+        return detector.accusations(loop.nowMillis()).stream()
+                .map(Accusation::parts)
+                .filter(parts -> !recorded.contains(CrashRecord.nameOf(parts)))
+                .findFirst()
+                .map(parts -> new CrashRecord(
+                        CrashRecord.nameOf(parts),
+                        detector.crashes(MAX_RECORDED_CRASHES).stream()
+                                .filter(crash -> parts.contains(crash.part()))
+                                .toList()));
+    }
+
+    /** Called with a record from the store. */
+    void onRecord(CrashRecord crashRecord) {
+        recorded.add(crashRecord.name());
+        crashRecord.crashes().forEach(crash -> detector.mergeCrash(crash, loop.nowMillis()));
+        logChanges();
+    }
+
+    /** Called when a record has been removed from the store. */
+    void onRecordRemoved(String name) {
+        recorded.remove(name);
+    }
+
     private void logChanges() {
         List<Accusation> accusations = detector.accusations(loop.nowMillis());
         Set<Set<Long>> before = blockedParts;
         blockedParts = accusations.stream().map(Accusation::parts).collect(Collectors.toSet());
         accusations.stream()
                 .filter(accusation -> !before.contains(accusation.parts()))
-                .forEach(accusation ->
-                        log.stateChange("prompt_parts", line -> line.with("parts", ids(accusation.parts()))
+                .forEach(accusation -> log.stateChange(
+                        "prompt_parts", line -> line.with("parts", CrashRecord.nameOf(accusation.parts()))
                                 .with("servers_crashed", accusation.servers())
                                 .with("outcome", "blocked")));
         Set<Set<Long>> released = new HashSet<>(before);
         released.removeAll(blockedParts);
-        released.forEach(parts -> log.stateChange(
-                "prompt_parts", line -> line.with("parts", ids(parts)).with("outcome", "released")));
-    }
-
-    private static String ids(Set<Long> parts) {
-        return parts.stream().sorted().map(Long::toHexString).collect(Collectors.joining(","));
+        released.forEach(parts -> log.stateChange("prompt_parts", line -> line.with("parts", CrashRecord.nameOf(parts))
+                .with("outcome", "released")));
     }
 }
--- a/router/src/main/java/io/heatherloft/router/fleet/FleetView.java
+++ b/router/src/main/java/io/heatherloft/router/fleet/FleetView.java
@@ -6,6 +6,7 @@
 import io.heatherloft.domain.rollout.RolloutProgress;
 import io.heatherloft.domain.route.BackendRegistration;
 import io.heatherloft.domain.route.CallerLimits;
+import io.heatherloft.domain.route.CrashRecord;
 import io.heatherloft.domain.route.RoutingConfiguration;
 import io.heatherloft.ports.loop.Loop;
 import io.heatherloft.ports.store.KeyValueStore;
@@ -57,8 +58,8 @@
         WatchedPrefix operators = new WatchedPrefix(store, formats.operatorPrefix());
         this.backends = new WatchedPrefix(store, formats.backendPrefix());
         WatchedPrefix states = new WatchedPrefix(store, formats.rolloutStatePrefix());
-        WatchedPrefix progress = new WatchedPrefix(store, formats.rolloutProgressPrefix());
-        this.prefixes = List.of(operators, backends, states, progress);
+        WatchedPrefix ofHosts = new WatchedPrefix(store, formats.hostPrefix());
+        this.prefixes = List.of(operators, backends, states, ofHosts);
     }
 
     /** Starts watching the store. */
@@ -161,6 +162,8 @@
                 onRolloutState(key.substring(formats.rolloutStatePrefix().length()), value);
             } else if (key.startsWith(formats.rolloutProgressPrefix())) {
                 onRolloutProgress(key.substring(formats.rolloutProgressPrefix().length()), value);
+            } else if (key.startsWith(formats.crashRecordPrefix())) {
+                onCrashRecord(key.substring(formats.crashRecordPrefix().length()), value);
             } else if (key.startsWith(formats.backendPrefix())) {
                 BackendRegistration entry = formats.readBackend(
                         key.substring(formats.backendPrefix().length()), value.value());
@@ -210,9 +213,18 @@
         versions.onProgress(service, progress, value.revision());
     }
 
+    private void onCrashRecord(String name, StoreValue value) throws UnreadableValueException {
+        registry.crashingPrompts()
+                .onRecord(CrashRecord.parse(name, value.value().toText(), loop.nowMillis())
+                        .orElseThrow(() -> new UnreadableValueException("crash record cannot be parsed")));
+    }
+
     private void onDelete(String key, long revision) {
         if (key.startsWith(formats.rolloutOrderPrefix())) {
             versions.of(key.substring(formats.rolloutOrderPrefix().length())).onOrderRemoved(revision);
+        } else if (key.startsWith(formats.crashRecordPrefix())) {
+            registry.crashingPrompts()
+                    .onRecordRemoved(key.substring(formats.crashRecordPrefix().length()));
         } else if (key.startsWith(formats.backendPrefix())) {
             onBackendRemoved(key.substring(formats.backendPrefix().length()), revision);
         }
--- a/router/src/main/java/io/heatherloft/router/fleet/StoredFormats.java
+++ b/router/src/main/java/io/heatherloft/router/fleet/StoredFormats.java
@@ -23,6 +23,12 @@
     /** Returns the key prefix of the backend servers' entries; the server ID follows. */
     String backendPrefix();
 
+    /** Returns the prefix of the keys that hosts write for themselves. */
+    String hostPrefix();
+
+    /** Returns the key prefix of records of crashes on prompt parts; the record's name follows. */
+    String crashRecordPrefix();
+
     /** Returns the key prefix of rollout progress, which hosts record; the service name follows. */
     String rolloutProgressPrefix();
 
--- a/standins/src/main/java/io/heatherloft/standins/platform/RunnerStandIn.java
+++ b/standins/src/main/java/io/heatherloft/standins/platform/RunnerStandIn.java
@@ -111,6 +111,11 @@
         crashListener = listener;
     }
 
+    /** Returns true from a crash until the next start. */
+    public boolean isCrashed() {
+        return crashed;
+    }
+
     /** Breaks off all responses; from now on, no request is executed until the server is restarted. */
     public void crash() {
         crashed = true;
--- a/standins/src/main/java/io/heatherloft/standins/platform/StoreStandIn.java
+++ b/standins/src/main/java/io/heatherloft/standins/platform/StoreStandIn.java
@@ -109,6 +109,11 @@
         compactedRevision = revision;
     }
 
+    /** Returns the keys that start with a prefix, in order. */
+    public List<String> keys(String prefix) {
+        return entries.keySet().stream().filter(key -> key.startsWith(prefix)).toList();
+    }
+
     /** Returns the value of a key as UTF-8 text, or empty if the key is absent. */
     public Optional<String> read(String key) {
         return Optional.ofNullable(entries.get(key)).map(entry -> new String(entry.value(), StandardCharsets.UTF_8));
