--- a/router/src/main/java/io/heatherloft/router/request/Attempt.java
+++ b/router/src/main/java/io/heatherloft/router/request/Attempt.java
@@ -204,6 +204,11 @@
         clearPendingPromptTokens();
         recordReceived();
         responseStartMillis = lastReceivedMillis;
+        server.onRequestLimit(metadata.requestLimit())
+                .ifPresent(change -> execution.engine().log().stateChange("server_limit", line -> line.with(
+                                "backend_id", server.entry().id())
+                        .with("requests_per_second", metadata.requestLimit().orElse(-1))
+                        .with("outcome", change)));
         status = newStatus;
         headers = newHeaders;
         if (metadata.notExecuted() || status == STATUS_MISDIRECTED_REQUEST) {
--- a/router/src/main/java/io/heatherloft/router/request/ResponseMetadata.java
+++ b/router/src/main/java/io/heatherloft/router/request/ResponseMetadata.java
@@ -1,6 +1,7 @@
 package io.heatherloft.router.request;
 
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.OptionalInt;
 
 /**
@@ -12,6 +13,11 @@
  * @param sealed true if the response carries the seal by which the server vouches for it
  * @param notExecuted true if the server states that it has not executed the request and will not
  * @param confidence the model's confidence in its response, from 0 to 100
+ * @param requestLimit requests per second that the server accepts from all hosts together, if it names a limit
  */
 public record ResponseMetadata(
-        Optional<String> attemptId, boolean sealed, boolean notExecuted, OptionalInt confidence) {}
+        Optional<String> attemptId,
+        boolean sealed,
+        boolean notExecuted,
+        OptionalInt confidence,
+        OptionalDouble requestLimit) {}
