--- a/standins/src/main/java/io/heatherloft/standins/platform/RunnerStandIn.java
+++ b/standins/src/main/java/io/heatherloft/standins/platform/RunnerStandIn.java
@@ -15,6 +15,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.Set;
 
 /**
@@ -39,6 +40,7 @@
     private final List<CallerRequest> receivedRequests = new ArrayList<>();
     private final List<ExecutedRequest> executedRequests = new ArrayList<>();
     private int confidence = 90;
+    private OptionalDouble requestLimit = OptionalDouble.empty();
     private int callerDisconnects;
     private final Set<CallerExchange> openExchanges = new HashSet<>();
     private Optional<String> crashingPart = Optional.empty();
@@ -94,6 +96,11 @@
         this.confidence = newConfidence;
     }
 
+    /** Sets the limit that the server names in its responses, in requests per second; empty to name none. */
+    public void setRequestLimit(OptionalDouble requestsPerSecond) {
+        requestLimit = requestsPerSecond;
+    }
+
     /** Changes the server's id, as a restart under a new id would; ends a crash. */
     public void restartAs(String newId) {
         id = newId;
@@ -183,6 +190,7 @@
                 act == Act.ANSWER_ANOTHER ? "other" : request.headers().get(PlatformFixtures.REQUEST_ID_HEADER, ""));
         headers.set("X-Runner-Id", id);
         headers.set("Keep-Alive", "timeout=5");
+        requestLimit.ifPresent(limit -> headers.set("Server-Limit", String.valueOf(limit)));
         switch (act) {
             case REFUSE -> {
                 headers.set("X-Not-Executed", "1");
