Hosts share the request rate that a server names, however many they are

Cause: the header that names the limit was not read; load and prompts alone chose the server. A decision of the whole fleet made by each host for itself: even hosts that each kept to the limit would have sent 58 times as much on 58 hosts.

Change: a host that has a request for a limited server claims a share of its limit. Claims are exchanged by gossip, in short rounds while they change; of the claimants the first by a hash hold equal shares in token buckets of one token, two more than twice the limit. Responses to later requests that name no limit lift it.

--- a/entry/src/test/java/io/heatherloft/entry/ServerLimitTest.java
+++ b/entry/src/test/java/io/heatherloft/entry/ServerLimitTest.java
@@ -10,7 +10,6 @@
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Nested;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 
 /** A backend server that names the rate of requests that it accepts from all hosts together. */
@@ -54,7 +53,6 @@
     @Nested
     final class AFleet {
         // Incident LIMIT: hosts went on sending requests to a server that had named a limit in its responses.
-        @Tag("known-red")
         @Test
         void keeps_to_the_limit_of_a_server_and_serves_the_rest_on_another() {
             RunnerStandIn limited = harness.startBackend("desk", "desk-1", "v1");
--- a/router/src/main/java/io/heatherloft/router/fleet/BackendServerState.java
+++ b/router/src/main/java/io/heatherloft/router/fleet/BackendServerState.java
@@ -4,8 +4,6 @@
 import io.heatherloft.domain.route.BackendHealth;
 import io.heatherloft.domain.route.BackendRegistration;
 import io.heatherloft.router.backend.BackendEndpoint;
-import java.util.Optional;
-import java.util.OptionalDouble;
 
 /**
  * A backend server with this host's outstanding requests on it and the health derived from its responses.
@@ -21,7 +19,6 @@
     private BackendRegistration entry;
     private long revision;
     private boolean missing;
-    private OptionalDouble requestLimit = OptionalDouble.empty();
     private int outstanding;
     private long pendingPromptTokens;
     private long lastReceivedMillis;
@@ -66,19 +63,6 @@
         return endpoint;
     }
 
-    /**
-     * Called with the limit that a response of the server names, in requests per second.
-     *
-     * @return the kind of change if the limit differs from that of the response before
-     */
-    public Optional<String> onRequestLimit(OptionalDouble newLimit) {
-        if (newLimit.equals(requestLimit)) {
-            return Optional.empty();
-        }
-        requestLimit = newLimit;
-        return Optional.of(newLimit.isPresent() ? "named" : "lifted");
-    }
-
     /** Returns a hash of the server's ID, for rendezvous hashing. */
     public long idHash() {
         return idHash;
--- a/router/src/main/java/io/heatherloft/router/peers/FleetGossip.java
+++ b/router/src/main/java/io/heatherloft/router/peers/FleetGossip.java
@@ -36,8 +36,8 @@
  *
  * <p>In each round this host contacts a random other host, requests the store changes that it lacks and sends recent
  * reports. The interval between rounds grows with the number of hosts, so that the traffic per host stays constant;
- * while a rollout waits for the hosts to learn of it, or a server has just crashed, rounds are short and carry few
- * reports.
+ * while a rollout waits for the hosts to learn of it, or a server has just crashed or named a limit, rounds are short
+ * and carry few reports.
  * Confined to the loop's thread.
  */
 public final class FleetGossip implements PeerNetwork.Handler {
@@ -127,7 +127,9 @@
     }
 
     private boolean isUrgent() {
-        return versions.isRolloutWaiting() || registry.crashingPrompts().isUrgent();
+        return versions.isRolloutWaiting()
+                || crashingPrompts().isUrgent()
+                || reports.serverLimits().isUrgent();
     }
 
     private void runRound() {
@@ -170,6 +172,7 @@
         applyRetainedSessions(received);
         applyReports(received);
         applyCrashes(received);
+        reports.serverLimits().merge(received);
         boolean sameCrashes =
                 received.getCrashes().getFingerprint() == crashingPrompts().fingerprint();
         return CompletableFuture.completedFuture(PeerReply.newBuilder()
@@ -190,6 +193,7 @@
                         .setService(retained.service())
                         .setOrderRevision(retained.orderRevision())
                         .addAllHashes(retained.hashes())));
+        reports.serverLimits().addTo(message);
         long fingerprint = crashingPrompts().fingerprint();
         CrashingPrompts.News crashNews = crashingPrompts().news(crashesKnown ? 0 : CRASHES_PER_MESSAGE);
         if (fingerprint != 0 || !crashNews.servers().isEmpty()) {
@@ -268,6 +272,7 @@
         applyRetainedSessions(message);
         applyReports(message);
         applyCrashes(message);
+        reports.serverLimits().merge(message);
         if (!connected) {
             connected = true;
             log.lifecycle("dependency_regained", line -> line.with("dependency", "other_hosts")
--- a/router/src/main/java/io/heatherloft/router/peers/HostReports.java
+++ b/router/src/main/java/io/heatherloft/router/peers/HostReports.java
@@ -25,11 +25,18 @@
     private final Loop loop;
     private final String self;
     private final Map<String, ReceivedReport> byHost = new HashMap<>();
+    private final ServerLimits serverLimits;
 
     /** Creates an empty collection; reports of the host named {@code self} are ignored. */
     public HostReports(Loop loop, String self) {
         this.loop = loop;
         this.self = self;
+        this.serverLimits = new ServerLimits(loop, self, this::hostCount);
+    }
+
+    /** Returns the limits that backend servers have named, which hosts share with each other. */
+    public ServerLimits serverLimits() {
+        return serverLimits;
     }
 
     /** Adds a report; returns false if it is not newer than the known one or is this host's own. */
--- a/router/src/main/java/io/heatherloft/router/request/Attempt.java
+++ b/router/src/main/java/io/heatherloft/router/request/Attempt.java
@@ -103,6 +103,7 @@
                 EmptyHttpHeaders.INSTANCE);
         latencyGroup = execution.route().name() + '/' + dispatch.model().orElse("");
         server.onRequestStart();
+        execution.engine().serverLimits().onSend(server);
         execution.engine().versionPolicies().onResponseStart(execution.service(), this);
         server.addPendingPromptTokens(pendingPromptTokens);
         execution
@@ -204,13 +205,9 @@
         clearPendingPromptTokens();
         recordReceived();
         responseStartMillis = lastReceivedMillis;
-        server.onRequestLimit(metadata.requestLimit())
-                .ifPresent(change -> execution.engine().log().stateChange("server_limit", line -> line.with(
-                                "backend_id", server.entry().id())
-                        .with("requests_per_second", metadata.requestLimit().orElse(-1))
-                        .with("outcome", change)));
         status = newStatus;
         headers = newHeaders;
+        recordRequestLimit(metadata);
         if (metadata.notExecuted() || status == STATUS_MISDIRECTED_REQUEST) {
             responseMode = ResponseMode.NOT_EXECUTED;
             inactivityTimer.cancel();
@@ -231,6 +228,19 @@
         return true;
     }
 
+    private void recordRequestLimit(ResponseMetadata metadata) {
+        boolean executed = !metadata.notExecuted() && status != STATUS_MISDIRECTED_REQUEST;
+        if (!executed && metadata.requestLimit().isEmpty()) {
+            return;
+        }
+        if (execution.engine().serverLimits().onResponse(server, metadata.requestLimit(), sentAtMillis)) {
+            execution.engine().log().stateChange("server_limit", line -> line.with(
+                            "backend_id", server.entry().id())
+                    .with("requests_per_second", metadata.requestLimit().orElse(-1))
+                    .with("outcome", metadata.requestLimit().isPresent() ? "named" : "lifted"));
+        }
+    }
+
     private void abort(String reason) {
         if (exchange != null) {
             exchange.cancel();
--- a/router/src/main/java/io/heatherloft/router/request/AttemptBackendSelector.java
+++ b/router/src/main/java/io/heatherloft/router/request/AttemptBackendSelector.java
@@ -40,8 +40,14 @@
         this.availabilityZone = availabilityZone;
     }
 
+    /** Returns true if a service has servers, whether or not they may be used now. */
+    boolean hasServers(String service) {
+        return !registry.ready(service).isEmpty();
+    }
+
     /**
-     * Returns the server for the next attempt; empty if the service has no usable server.
+     * Returns the server for the next attempt; empty if the service has no server, or this host no share of the limits
+     * of its servers left.
      *
      * @param triedServers servers that have failed this request; they, and servers of a suspect version, are selected
      *     only if there is no other
@@ -60,6 +66,7 @@
                 .or(() -> preference.versions().stream().findFirst())
                 .map(version -> ready.stream()
                         .filter(server -> server.entry().version().equals(version))
+                        .filter(hostReports.serverLimits()::mayUse)
                         .toList())
                 .orElseGet(List::of);
         List<BackendServerState> untried = eligible.stream()
--- a/router/src/main/java/io/heatherloft/router/request/RequestEngine.java
+++ b/router/src/main/java/io/heatherloft/router/request/RequestEngine.java
@@ -15,6 +15,7 @@
 import io.heatherloft.router.http.CallerRequest;
 import io.heatherloft.router.log.DecisionLog;
 import io.heatherloft.router.peers.HostReports;
+import io.heatherloft.router.peers.ServerLimits;
 import java.util.Optional;
 
 /**
@@ -40,6 +41,7 @@
     private final DecisionLog log;
     private final MetricRegistry metrics;
     private final RetryBudgets retryBudgets;
+    private final ServerLimits serverLimits;
     private final ResponseBuffers responseBuffers = new ResponseBuffers();
     private int inProgress;
 
@@ -64,6 +66,7 @@
         this.versionPolicies = versionPolicies;
         this.log = log;
         this.metrics = metrics;
+        this.serverLimits = hostReports.serverLimits();
         this.retryBudgets = new RetryBudgets(settings.retryRatio(), settings.retryAllowance(), hostReports::hostCount);
         this.backendSelector =
                 new AttemptBackendSelector(loop, registry, versionPolicies, hostReports, settings.availabilityZone());
@@ -127,6 +130,10 @@
         return retryBudgets.of(service);
     }
 
+    ServerLimits serverLimits() {
+        return serverLimits;
+    }
+
     ResponseBuffers responseBuffers() {
         return responseBuffers;
     }
--- a/router/src/main/java/io/heatherloft/router/request/RequestExecution.java
+++ b/router/src/main/java/io/heatherloft/router/request/RequestExecution.java
@@ -121,7 +121,10 @@
         Optional<AttemptBackendSelector.Selection> selected =
                 engine.backendSelector().select(service, metadata, triedServers);
         if (selected.isEmpty()) {
-            fail(RefusalReason.NO_BACKEND);
+            fail(
+                    engine.backendSelector().hasServers(service)
+                            ? RefusalReason.SERVERS_AT_LIMIT
+                            : RefusalReason.NO_BACKEND);
             return;
         }
         BackendServerState server = selected.get().server();
--- a/router/src/test/java/io/heatherloft/router/peers/CrashingPromptFleetTest.java
+++ b/router/src/test/java/io/heatherloft/router/peers/CrashingPromptFleetTest.java
@@ -3,27 +3,16 @@
 import static com.google.common.truth.Truth.assertThat;
 import static com.google.common.truth.Truth.assertWithMessage;
 
-import com.codahale.metrics.MetricRegistry;
 import io.heatherloft.domain.route.BackendRegistration;
 import io.heatherloft.domain.route.CrashingPromptDetector.Prompt;
 import io.heatherloft.domain.route.CrashingPromptDetector.Response;
-import io.heatherloft.peer.generated.PeerReply;
-import io.heatherloft.peer.generated.PeerRequest;
-import io.heatherloft.ports.loop.Futures;
 import io.heatherloft.router.VirtualLoop;
 import io.heatherloft.router.fleet.BackendRegistry;
 import io.heatherloft.router.fleet.BackendServerState;
-import io.heatherloft.router.fleet.FleetView;
-import io.heatherloft.router.fleet.SessionVersions;
-import io.heatherloft.router.fleet.VersionPolicies;
-import io.heatherloft.router.log.DecisionLog;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
-import java.util.concurrent.CompletableFuture;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -44,9 +33,9 @@
 
     /** Hosts and servers, and callers whose requests reach any host. */
     private static final class Fleet {
-        private final VirtualLoop loop = new VirtualLoop();
+        private final GossipFleet gossip;
+        private final VirtualLoop loop;
         private final Random random;
-        private final Map<String, FleetGossip> gossips = new HashMap<>();
         private final List<Host> hosts = new ArrayList<>();
         private final List<Server> servers = new ArrayList<>();
         private int serversStarted;
@@ -57,10 +46,12 @@
         private long learnedByMillis = Long.MAX_VALUE;
 
         Fleet(int hostCount, int serverCount, long seed) {
-            this.random = new Random(seed);
+            this.gossip = new GossipFleet(seed, 1_000, new OrderFormats("", 0));
+            this.loop = gossip.loop;
+            this.random = gossip.random;
             IntStream.range(0, hostCount).forEach(index -> hosts.add(new Host("h" + index)));
             IntStream.range(0, serverCount).forEach(_index -> servers.add(new Server()));
-            hosts.forEach(host -> loop.schedule(random.nextInt(500), host.gossip::start));
+            hosts.forEach(host -> host.member.startSoon());
             loop.runFor(5_000);
         }
 
@@ -88,29 +79,14 @@
 
         /** Replaces a host by one that knows nothing, and returns it. */
         Host restart(int index) {
-            hosts.get(index).gossip.stop();
-            Host started = new Host(hosts.get(index).name);
+            hosts.get(index).member.stop();
+            Host started = new Host(hosts.get(index).member.name);
             servers.forEach(started::learn);
-            started.gossip.start();
+            started.member.start();
             hosts.set(index, started);
             return started;
         }
 
-        private CompletableFuture<PeerReply> call(String address, PeerRequest request) {
-            CompletableFuture<PeerReply> reply = new CompletableFuture<>();
-            loop.schedule(
-                    networkDelayMillis(),
-                    () -> Futures.onComplete(
-                            gossips.get(address).handle(request),
-                            (received, _failure) ->
-                                    loop.schedule(networkDelayMillis(), () -> reply.complete(received))));
-            return reply;
-        }
-
-        private int networkDelayMillis() {
-            return 1 + random.nextInt(3);
-        }
-
         /** A request, sent to a server up to three times. */
         private final class Call {
             private final boolean crashing;
@@ -144,7 +120,7 @@
                 if (!server.up) {
                     server.stateAt(host)
                             .ifPresent(state -> host.registry.crashingPrompts().onCrash(state));
-                    loop.schedule(networkDelayMillis(), this::send);
+                    loop.schedule(gossip.networkDelayMillis(), this::send);
                     return;
                 }
                 if (crashing && loop.nowMillis() > learnedByMillis) {
@@ -179,7 +155,7 @@
                 String runningId = id;
                 loop.schedule(10 + random.nextInt(90), () -> {
                     if (!up || !id.equals(runningId)) {
-                        loop.schedule(networkDelayMillis(), call::send);
+                        loop.schedule(gossip.networkDelayMillis(), call::send);
                     } else if (stateAt(call.host).isPresent()) {
                         respond(call, stateAt(call.host).get());
                     }
@@ -189,7 +165,7 @@
             private void respond(Call call, BackendServerState state) {
                 Response _started = call.host.registry.crashingPrompts().onResponseStart(state, call.prompt);
                 Runnable interruption =
-                        () -> loop.schedule(networkDelayMillis(), () -> call.host.interrupt(state, call));
+                        () -> loop.schedule(gossip.networkDelayMillis(), () -> call.host.interrupt(state, call));
                 interruptions.add(interruption);
                 if (call.crashing) {
                     loop.schedule(CRASH_DELAY_MILLIS, () -> {
@@ -221,32 +197,13 @@
 
         /** What a host knows of crashes, and its gossip. */
         private final class Host {
-            private final String name;
+            private final GossipFleet.Member member;
             private final BackendRegistry registry;
-            private final FleetGossip gossip;
             private int revision;
 
             Host(String name) {
-                this.name = name;
-                MetricRegistry metrics = new MetricRegistry();
-                DecisionLog log = new DecisionLog(loop, name, metrics, _line -> true);
-                VersionPolicies versions = new VersionPolicies(loop, new SessionVersions(1_000));
-                this.registry = new BackendRegistry(loop, log);
-                FleetView view = new FleetView(
-                        loop, new UnresponsiveStore(), new OrderFormats("", 0), registry, versions, log, metrics);
-                this.gossip = new FleetGossip(
-                        loop,
-                        Fleet.this::call,
-                        view,
-                        registry,
-                        versions,
-                        new HostReports(loop, name),
-                        log,
-                        new Random(random.nextLong()),
-                        name,
-                        name,
-                        List.of("h0", "h1", "h2"));
-                gossips.put(name, gossip);
+                this.member = gossip.new Member(name);
+                this.registry = member.registry;
             }
 
             void learn(Server server) {
@@ -257,7 +214,7 @@
 
             void interrupt(BackendServerState state, Call call) {
                 if (registry.crashingPrompts().onInterruption(state)) {
-                    loop.schedule(networkDelayMillis(), () -> registry.crashingPrompts()
+                    loop.schedule(gossip.networkDelayMillis(), () -> registry.crashingPrompts()
                             .onCrash(state));
                 }
                 call.send();
--- /dev/null
+++ b/router/src/test/java/io/heatherloft/router/peers/GossipFleet.java
@@ -0,0 +1,94 @@
+package io.heatherloft.router.peers;
+
+import com.codahale.metrics.MetricRegistry;
+import io.heatherloft.peer.generated.PeerReply;
+import io.heatherloft.peer.generated.PeerRequest;
+import io.heatherloft.ports.loop.Futures;
+import io.heatherloft.router.VirtualLoop;
+import io.heatherloft.router.fleet.BackendRegistry;
+import io.heatherloft.router.fleet.FleetView;
+import io.heatherloft.router.fleet.SessionVersions;
+import io.heatherloft.router.fleet.StoredFormats;
+import io.heatherloft.router.fleet.VersionPolicies;
+import io.heatherloft.router.log.DecisionLog;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+
+/** Hosts that gossip in virtual time, without a network or a store. Confined to the test's thread. */
+final class GossipFleet {
+    private static final int MAX_START_DELAY_MILLIS = 500;
+    private static final int MAX_NETWORK_DELAY_MILLIS = 3;
+
+    final VirtualLoop loop = new VirtualLoop();
+    final Random random;
+    private final long sessionIdleMillis;
+    private final StoredFormats formats;
+    private final Map<String, FleetGossip> gossips = new HashMap<>();
+
+    GossipFleet(long seed, long sessionIdleMillis, StoredFormats formats) {
+        this.random = new Random(seed);
+        this.sessionIdleMillis = sessionIdleMillis;
+        this.formats = formats;
+    }
+
+    private CompletableFuture<PeerReply> call(String address, PeerRequest request) {
+        CompletableFuture<PeerReply> reply = new CompletableFuture<>();
+        loop.schedule(
+                networkDelayMillis(),
+                () -> Futures.onComplete(
+                        gossips.get(address).handle(request),
+                        (received, _failure) -> loop.schedule(networkDelayMillis(), () -> reply.complete(received))));
+        return reply;
+    }
+
+    int networkDelayMillis() {
+        return 1 + random.nextInt(MAX_NETWORK_DELAY_MILLIS);
+    }
+
+    /** What a host knows, and its gossip. A member with the name of another one replaces it. */
+    final class Member {
+        final String name;
+        final VersionPolicies versions = new VersionPolicies(loop, new SessionVersions(sessionIdleMillis));
+        final BackendRegistry registry;
+        final FleetView view;
+        final HostReports reports;
+        private final FleetGossip gossip;
+
+        Member(String name) {
+            this.name = name;
+            MetricRegistry metrics = new MetricRegistry();
+            DecisionLog log = new DecisionLog(loop, name, metrics, _line -> true);
+            this.registry = new BackendRegistry(loop, log);
+            this.view = new FleetView(loop, new UnresponsiveStore(), formats, registry, versions, log, metrics);
+            this.reports = new HostReports(loop, name);
+            this.gossip = new FleetGossip(
+                    loop,
+                    GossipFleet.this::call,
+                    view,
+                    registry,
+                    versions,
+                    reports,
+                    log,
+                    new Random(random.nextLong()),
+                    name,
+                    name,
+                    List.of("h0", "h1", "h2"));
+            gossips.put(name, gossip);
+        }
+
+        void start() {
+            gossip.start();
+        }
+
+        void startSoon() {
+            loop.schedule(random.nextInt(MAX_START_DELAY_MILLIS), gossip::start);
+        }
+
+        void stop() {
+            gossip.stop();
+        }
+    }
+}
--- a/router/src/test/java/io/heatherloft/router/peers/RolloutSessionsTest.java
+++ b/router/src/test/java/io/heatherloft/router/peers/RolloutSessionsTest.java
@@ -2,27 +2,15 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
-import com.codahale.metrics.MetricRegistry;
 import io.heatherloft.domain.Bytes;
-import io.heatherloft.peer.PeerNetwork;
-import io.heatherloft.peer.generated.PeerReply;
-import io.heatherloft.peer.generated.PeerRequest;
-import io.heatherloft.ports.loop.Futures;
 import io.heatherloft.router.VirtualLoop;
-import io.heatherloft.router.fleet.BackendRegistry;
-import io.heatherloft.router.fleet.FleetView;
 import io.heatherloft.router.fleet.PrefixReplica;
-import io.heatherloft.router.fleet.SessionVersions;
 import io.heatherloft.router.fleet.VersionPolicies;
-import io.heatherloft.router.log.DecisionLog;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
-import java.util.concurrent.CompletableFuture;
 import java.util.function.BiConsumer;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Nested;
@@ -44,18 +32,20 @@
 
     /** A fleet of hosts in virtual time, and callers whose requests reach any host, as with a balancer. */
     private static final class Fleet {
-        private final VirtualLoop loop = new VirtualLoop();
+        private final GossipFleet gossip;
+        private final VirtualLoop loop;
         private final Random random;
-        private final Map<String, PeerNetwork.Handler> handlers = new HashMap<>();
         private final List<Host> hosts = new ArrayList<>();
         private int movedRequests;
         private int requestsOnTarget;
         private int requests;
 
         Fleet(int hostCount, long seed) {
-            this.random = new Random(seed);
+            this.gossip = new GossipFleet(seed, SESSION_IDLE_MILLIS, new OrderFormats(TARGET, ROLLOUT_MILLIS));
+            this.loop = gossip.loop;
+            this.random = gossip.random;
             IntStream.range(0, hostCount).forEach(index -> hosts.add(new Host("h" + index)));
-            hosts.forEach(host -> loop.schedule(random.nextInt(500), host.gossip::start));
+            hosts.forEach(host -> host.member.startSoon());
         }
 
         /** Delivers the order to each host within the time that its watch of the store takes. */
@@ -66,9 +56,9 @@
         /** Replaces a host by one that knows nothing; it gets requests once it has read the store. */
         void restart(int index) {
             Host ended = hosts.get(index);
-            ended.gossip.stop();
-            Host started = new Host(ended.name);
-            started.gossip.start();
+            ended.member.stop();
+            Host started = new Host(ended.member.name);
+            started.member.start();
             loop.schedule(random.nextInt(200), started::receiveOrder);
             loop.schedule(RESTART_MILLIS, () -> hosts.set(index, started));
         }
@@ -104,59 +94,18 @@
             });
         }
 
-        private CompletableFuture<PeerReply> call(String address, PeerRequest request) {
-            CompletableFuture<PeerReply> reply = new CompletableFuture<>();
-            loop.schedule(
-                    networkDelayMillis(),
-                    () -> Futures.onComplete(
-                            handlers.get(address).handle(request),
-                            (received, _failure) ->
-                                    loop.schedule(networkDelayMillis(), () -> reply.complete(received))));
-            return reply;
-        }
-
-        private int networkDelayMillis() {
-            return 1 + random.nextInt(3);
-        }
-
         /** What a host knows of the rollout, and its gossip. */
         private final class Host {
-            private final String name;
-            private final VersionPolicies versions =
-                    new VersionPolicies(loop, new SessionVersions(SESSION_IDLE_MILLIS));
-            private final FleetView view;
-            private final FleetGossip gossip;
+            private final GossipFleet.Member member;
+            private final VersionPolicies versions;
 
             Host(String name) {
-                this.name = name;
-                MetricRegistry metrics = new MetricRegistry();
-                DecisionLog log = new DecisionLog(loop, name, metrics, _line -> true);
-                BackendRegistry registry = new BackendRegistry(loop, log);
-                this.view = new FleetView(
-                        loop,
-                        new UnresponsiveStore(),
-                        new OrderFormats(TARGET, ROLLOUT_MILLIS),
-                        registry,
-                        versions,
-                        log,
-                        metrics);
-                this.gossip = new FleetGossip(
-                        loop,
-                        Fleet.this::call,
-                        view,
-                        registry,
-                        versions,
-                        new HostReports(loop, name),
-                        log,
-                        new Random(random.nextLong()),
-                        name,
-                        name,
-                        List.of("h0", "h1", "h2"));
-                handlers.put(name, gossip);
+                this.member = gossip.new Member(name);
+                this.versions = member.versions;
             }
 
             private void receiveOrder() {
-                view.applyFromHost(
+                member.view.applyFromHost(
                         "op/",
                         List.of(new PrefixReplica.Change(
                                 "op/rollout/" + SERVICE, ORDER_REVISION, Optional.of(Bytes.ofText("order")))),
