--- a/entry/src/test/java/io/heatherloft/entry/ClosingServerTest.java
+++ b/entry/src/test/java/io/heatherloft/entry/ClosingServerTest.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import io.heatherloft.standins.platform.ClosingServerStandIn;
 import java.util.List;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
@@ -30,7 +31,7 @@
 
     // Sends requests until the server has received one, and checks that each response is whole.
     private void checkResponses(String body) {
-        try (ClosingServer server = new ClosingServer(body)) {
+        try (ClosingServerStandIn server = new ClosingServerStandIn(body)) {
             harness.registerBackend("llm", "closing", "v1", server.port());
             harness.startBackend("llm", "llm-1", "v1");
             EntryHost host = harness.startReadyHost("h-1", EntryHostHarness.freePort(), List.of());
--- a/soak/src/main/java/io/heatherloft/soak/SoakCaller.java
+++ b/soak/src/main/java/io/heatherloft/soak/SoakCaller.java
@@ -10,6 +10,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Random;
 
 /**
@@ -68,9 +69,44 @@
 
     Exchange send(InvariantChecker.Kind kind, String address) throws InterruptedException {
         InvariantChecker.SentRequest request = new InvariantChecker.SentRequest(kind, name + '-' + exchanges.size());
+        return exchange(request, buildRequest(request, address));
+    }
+
+    /** Sends a lookup. */
+    Exchange sendLookup(String id, String address) throws InterruptedException {
+        InvariantChecker.SentRequest request =
+                new InvariantChecker.SentRequest(InvariantChecker.Kind.LOOKUP, name + '-' + id);
+        return exchange(request, buildRequest(request, address));
+    }
+
+    /**
+     * Sends a stream request whose prompt has a part before its last one.
+     *
+     * @return the response; empty if no complete response arrived
+     */
+    Optional<HttpResponse<String>> sendStream(InvariantChecker.SentRequest request, String part, String address)
+            throws InterruptedException {
+        Map<String, String> headers =
+                PlatformFixtures.streamHeaders(request.id(), SoakFleet.API_KEY, DEADLINE_MILLIS, request.id());
+        headers.put(
+                "X-Prompt-Prefix",
+                "5c1e07a2:800," + part + ":410,"
+                        + Integer.toHexString(request.id().hashCode()) + ":250");
+        HttpRequest httpRequest = newRequestBuilder("http://" + address + "/plans/north", headers)
+                .POST(HttpRequest.BodyPublishers.ofString("hello " + request.id()))
+                .build();
+        try {
+            return Optional.of(client.send(httpRequest, HttpResponse.BodyHandlers.ofString()));
+        } catch (IOException _exception) {
+            // The connection ends if the servers crash while they respond.
+            return Optional.empty();
+        }
+    }
+
+    private Exchange exchange(InvariantChecker.SentRequest request, HttpRequest httpRequest)
+            throws InterruptedException {
         try {
-            HttpResponse<String> response =
-                    client.send(buildRequest(request, address), HttpResponse.BodyHandlers.ofString());
+            HttpResponse<String> response = client.send(httpRequest, HttpResponse.BodyHandlers.ofString());
             return new Exchange(
                     request,
                     new InvariantChecker.ReceivedResponse(
--- a/soak/src/main/java/io/heatherloft/soak/SoakFleet.java
+++ b/soak/src/main/java/io/heatherloft/soak/SoakFleet.java
@@ -1,5 +1,6 @@
 package io.heatherloft.soak;
 
+import io.heatherloft.standins.platform.ClosingServerStandIn;
 import io.heatherloft.standins.platform.PlatformFixtures;
 import io.heatherloft.standins.platform.RunnerStandIn;
 import io.heatherloft.standins.platform.StandInLoop;
@@ -10,6 +11,7 @@
 import java.net.ServerSocket;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -27,6 +29,12 @@
 final class SoakFleet implements AutoCloseable {
     static final String API_KEY = "k1";
     static final int EVENTS_PER_STREAM = 8;
+    /** Prompt part on which the engines crash. */
+    static final String CRASHING_PART = "bad00bad";
+
+    private static final String CLOSING_SERVER = "llm-closing";
+    private static final long ENTRY_REMOVAL_MILLIS = 200L;
+    private static final long RESTART_MILLIS = 500L;
     private static final int SHUTDOWN_GRACE_SECONDS = 4;
     // Must match deploy/system.toml.
     private static final int METRICS_PORT = 9_464;
@@ -36,6 +44,9 @@
     private final Map<String, RunnerStandIn> backends = new LinkedHashMap<>();
     private final Map<String, FaultProxy> proxies = new LinkedHashMap<>();
     private final List<HostProcess> hosts = new ArrayList<>();
+    private final Map<String, Integer> startsOfBackends = new HashMap<>();
+    private final ClosingServerStandIn closingServer =
+            new ClosingServerStandIn(StreamBody.withEvents(EVENTS_PER_STREAM));
     private int configurationVersion = 1;
 
     SoakFleet(Path directory, int hostCount) {
@@ -52,17 +63,46 @@
 
     private void startBackend(String id) {
         RunnerStandIn backend = new RunnerStandIn(loop.loop(), id, EVENTS_PER_STREAM);
+        backend.crashOnPromptPart(CRASHING_PART, () -> restartSoon(id));
         FaultProxy proxy = new FaultProxy(loop.group(), loop.loop(), loop.listen(backend, 0));
         backends.put(id, backend);
         proxies.put(id, proxy);
         registerBackend(id);
     }
 
+    // The entry of a crashed server is removed, and written again when the server has started.
+    private void restartSoon(String id) {
+        int starts = startsOfBackends.merge(id, 1, Integer::sum);
+        loop.loop().schedule(ENTRY_REMOVAL_MILLIS, () -> store.deleteBackend(id));
+        loop.loop().schedule(RESTART_MILLIS, () -> {
+            backends.get(id).restartAs(id);
+            store.putBackend(
+                    id,
+                    PlatformFixtures.backendEntry(serviceOf(id), proxies.get(id).port(), "v1", starts));
+        });
+    }
+
+    private static String serviceOf(String id) {
+        return id.substring(0, id.indexOf('-'));
+    }
+
+    /** Starts or stops a server whose streams end with their connection. */
+    void setClosingServer(boolean started) {
+        runOnLoop(() -> {
+            if (started) {
+                store.putBackend(CLOSING_SERVER, PlatformFixtures.backendEntry("llm", closingServer.port(), "v1"));
+            } else {
+                store.deleteBackend(CLOSING_SERVER);
+            }
+        });
+    }
+
     /** Registers a backend server in the store. */
     void registerBackend(String id) {
-        String service = id.substring(0, id.indexOf('-'));
         runOnLoop(() -> store.putBackend(
-                id, PlatformFixtures.backendEntry(service, proxies.get(id).port(), "v1")));
+                id,
+                PlatformFixtures.backendEntry(
+                        serviceOf(id), proxies.get(id).port(), "v1", startsOfBackends.getOrDefault(id, 0))));
     }
 
     /** Removes a backend server's registration from the store. */
@@ -139,6 +179,7 @@
                 Thread.currentThread().interrupt();
             }
         });
+        closingServer.close();
         loop.close();
     }
 }
--- a/soak/src/main/java/io/heatherloft/soak/SoakMain.java
+++ b/soak/src/main/java/io/heatherloft/soak/SoakMain.java
@@ -31,6 +31,7 @@
         parser.addArgument("--first-seed").type(Long.class).setDefault(1L).help("seed of the first run");
         parser.addArgument("--seeds").type(Integer.class).setDefault(1).help("number of runs");
         parser.addArgument("--steps").type(Integer.class).setDefault(25).help("number of faults to inject in each run");
+        parser.addArgument("--hosts").type(Integer.class).setDefault(3).help("number of entry hosts");
         parser.addArgument("--logs").setDefault("target/soak").help("directory for the host logs");
         try {
             System.exit(run(parser.parseArgs(arguments)));
@@ -46,7 +47,7 @@
         for (long seed = first; seed < first + parsed.getInt("seeds"); seed++) {
             Path directory = Path.of(parsed.getString("logs"), String.valueOf(seed));
             Files.createDirectories(directory);
-            SoakRun run = new SoakRun(seed, parsed.getInt("steps"), directory);
+            SoakRun run = new SoakRun(seed, parsed.getInt("steps"), parsed.getInt("hosts"), directory);
             List<String> findings = run.run();
             System.out.println("seed " + seed + ": " + (findings.isEmpty() ? "kept" : "BROKEN") + "; "
                     + run.trace().get(run.trace().size() - 1));
--- a/soak/src/main/java/io/heatherloft/soak/SoakRun.java
+++ b/soak/src/main/java/io/heatherloft/soak/SoakRun.java
@@ -7,6 +7,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalDouble;
 import java.util.Random;
 import java.util.stream.IntStream;
 
@@ -17,8 +18,8 @@
  * <p>Confined to one thread, except for the callers, which each run in their own.
  */
 final class SoakRun {
-    private static final int HOSTS = 3;
     private static final int CALLERS = 4;
+    private static final double SERVER_LIMIT = 5;
     private static final int MAX_PAUSE_MILLIS = 500;
     private static final int MAX_FREEZE_MILLIS = 1_500;
     // Bounds the wait of a run that has already failed; has no effect on the others.
@@ -27,12 +28,14 @@
 
     private final long seed;
     private final int steps;
+    private final int hostCount;
     private final Path directory;
     private final Random random;
     private final InvariantChecker checker = new InvariantChecker();
     private final List<String> trace = new ArrayList<>();
 
-    SoakRun(long seed, int steps, Path directory) {
+    SoakRun(long seed, int steps, int hostCount, Path directory) {
+        this.hostCount = hostCount;
         this.seed = seed;
         this.steps = steps;
         this.directory = directory;
@@ -46,7 +49,7 @@
 
     /** Runs to completion and returns the invariant violations. Host logs are written to the directory. */
     List<String> run() throws InterruptedException {
-        try (SoakFleet fleet = new SoakFleet(directory, HOSTS)) {
+        try (SoakFleet fleet = new SoakFleet(directory, hostCount)) {
             awaitServing(fleet, "start");
             List<String> addresses =
                     fleet.hosts().stream().map(HostProcess::callerAddress).toList();
@@ -65,6 +68,9 @@
             for (Thread thread : threads) {
                 thread.join();
             }
+            TroubledServerChecks checks = new TroubledServerChecks(fleet, checker, seed);
+            checks.checkCrashingPrompt();
+            checks.checkServerLimit();
             for (HostProcess host : fleet.hosts()) {
                 int code = host.terminate();
                 if (code != 0) {
@@ -77,13 +83,13 @@
     }
 
     private void injectFault(SoakFleet fleet) throws InterruptedException {
-        HostProcess host = fleet.hosts().get(random.nextInt(HOSTS));
+        HostProcess host = fleet.hosts().get(random.nextInt(hostCount));
         List<String> ids = List.copyOf(fleet.backends().keySet());
         String id = ids.get(random.nextInt(ids.size()));
         FaultProxy.Fault[] proxyFaults = FaultProxy.Fault.values();
         StoreStandIn.Fault[] storeFaults = StoreStandIn.Fault.values();
         RunnerStandIn.Act[] acts = RunnerStandIn.Act.values();
-        switch (random.nextInt(11)) {
+        switch (random.nextInt(13)) {
             case 0 -> {
                 trace.add("kill " + host.callerAddress());
                 host.kill();
@@ -135,6 +141,16 @@
                 trace.add(id + " next requests: " + act);
                 fleet.runOnLoop(() -> fleet.backends().get(id).enqueueActs(act, act, act));
             }
+            case 10 -> {
+                OptionalDouble limit = random.nextBoolean() ? OptionalDouble.of(SERVER_LIMIT) : OptionalDouble.empty();
+                trace.add(id + " names limit " + limit);
+                fleet.runOnLoop(() -> fleet.backends().get(id).setRequestLimit(limit));
+            }
+            case 11 -> {
+                boolean started = random.nextBoolean();
+                trace.add("server whose streams end with their connection: " + (started ? "start" : "stop"));
+                fleet.setClosingServer(started);
+            }
             default -> {
                 trace.add("update configuration, deregister and register " + id);
                 fleet.publishNextConfiguration();
@@ -148,7 +164,9 @@
         fleet.runOnLoop(() -> {
             fleet.store().setFault(StoreStandIn.Fault.NONE);
             fleet.proxies().values().forEach(proxy -> proxy.setFault(FaultProxy.Fault.NONE));
+            fleet.backends().values().forEach(backend -> backend.setRequestLimit(OptionalDouble.empty()));
         });
+        fleet.setClosingServer(false);
         for (HostProcess host : fleet.hosts()) {
             host.sendSignal("CONT");
         }
--- /dev/null
+++ b/soak/src/main/java/io/heatherloft/soak/TroubledServerChecks.java
@@ -0,0 +1,160 @@
+package io.heatherloft.soak;
+
+import io.heatherloft.standins.platform.RunnerStandIn;
+import java.net.http.HttpResponse;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalDouble;
+import java.util.Set;
+import java.util.function.BooleanSupplier;
+
+/**
+ * Checks how a calm fleet treats a prompt part that crashes servers, and a server that names a limit.
+ *
+ * <p>Confined to one thread.
+ */
+final class TroubledServerChecks {
+    private static final int REFUSED = 503;
+    private static final int OK = 200;
+    private static final String SOUND_PART = "91bd3f06";
+    private static final int MAX_CRASHING_REQUESTS_PER_HOST = 8;
+    private static final int MAX_POLLS = 300;
+    private static final int POLL_MILLIS = 100;
+    // The rule on limits: one and a half times the limit, and five requests, from 3 s after the first naming.
+    private static final String LIMITED_SERVER = "desk-1";
+    private static final double LIMIT_PER_SECOND = 2;
+    private static final double TOLERANCE_FACTOR = 1.5;
+    private static final double TOLERATED_REQUESTS = 5;
+    private static final double STABLE_WINDOW_SECONDS = 3;
+    private static final double MEASURED_SECONDS = 4;
+    private static final int REQUEST_PAUSE_MILLIS = 10;
+    private static final double NANOS_PER_SECOND = 1e9;
+
+    private final SoakFleet fleet;
+    private final InvariantChecker checker;
+    private final SoakCaller caller;
+    private final List<String> addresses;
+    private int requests;
+
+    TroubledServerChecks(SoakFleet fleet, InvariantChecker checker, long seed) {
+        this.fleet = fleet;
+        this.checker = checker;
+        this.caller = new SoakCaller("s" + seed + "checks", List.of(), seed);
+        this.addresses = fleet.hosts().stream().map(HostProcess::callerAddress).toList();
+    }
+
+    /** Sends requests with the crashing part until every host refuses them. */
+    void checkCrashingPrompt() throws InterruptedException {
+        Set<String> refusing = new HashSet<>();
+        int maxRequests = MAX_CRASHING_REQUESTS_PER_HOST * addresses.size();
+        for (int sent = 0; sent < maxRequests && refusing.size() < addresses.size(); sent++) {
+            String address = addresses.get(sent % addresses.size());
+            if (sendStream(SoakFleet.CRASHING_PART, address)
+                    .filter(TroubledServerChecks::isRefusedForItsPrompt)
+                    .isPresent()) {
+                refusing.add(address);
+            }
+            awaitServers();
+        }
+        if (refusing.size() < addresses.size()) {
+            checker.addFinding("only " + refusing + " refuse requests with the crashing part");
+            return;
+        }
+        long before = crashingRequests();
+        for (String address : addresses) {
+            Optional<HttpResponse<String>> _refused = sendStream(SoakFleet.CRASHING_PART, address);
+        }
+        if (crashingRequests() > before) {
+            checker.addFinding((crashingRequests() - before) + " requests with the crashing part reached servers");
+        }
+        for (String address : addresses) {
+            int polls = 0;
+            while (sendStream(SOUND_PART, address)
+                            .filter(response -> response.statusCode() == OK)
+                            .isEmpty()
+                    && polls < MAX_POLLS) {
+                polls++;
+                Thread.sleep(POLL_MILLIS);
+            }
+            if (polls == MAX_POLLS) {
+                checker.addFinding(address + ": refuses requests with a sound part");
+            }
+        }
+    }
+
+    private Optional<HttpResponse<String>> sendStream(String part, String address) throws InterruptedException {
+        requests++;
+        InvariantChecker.SentRequest request =
+                new InvariantChecker.SentRequest(InvariantChecker.Kind.STREAM, "checks-" + requests);
+        checker.onSent(request);
+        return caller.sendStream(request, part, address);
+    }
+
+    // Of the reasons for a refusal, this one alone asks callers to wait for five minutes.
+    private static boolean isRefusedForItsPrompt(HttpResponse<String> response) {
+        return response.statusCode() == REFUSED
+                && response.headers()
+                        .firstValue("Retry-After")
+                        .filter(value -> value.startsWith("300"))
+                        .isPresent();
+    }
+
+    private void awaitServers() throws InterruptedException {
+        BooleanSupplier crashed = () -> {
+            boolean[] any = new boolean[1];
+            fleet.runOnLoop(() -> any[0] = fleet.backends().values().stream().anyMatch(RunnerStandIn::isCrashed));
+            return any[0];
+        };
+        while (crashed.getAsBoolean()) {
+            Thread.sleep(POLL_MILLIS);
+        }
+        // The hosts learn of the restarted servers.
+        Thread.sleep(POLL_MILLIS);
+    }
+
+    private long crashingRequests() {
+        long[] count = new long[1];
+        fleet.runOnLoop(() -> count[0] = fleet.backends().values().stream()
+                .flatMap(backend -> backend.receivedRequests().stream())
+                .filter(request -> request.headers().get("X-Prompt-Prefix", "").contains(SoakFleet.CRASHING_PART))
+                .count());
+        return count[0];
+    }
+
+    /** Sends requests to all hosts while one server names a limit, and counts those that it gets. */
+    void checkServerLimit() throws InterruptedException {
+        fleet.runOnLoop(
+                () -> fleet.backends().get(LIMITED_SERVER).setRequestLimit(OptionalDouble.of(LIMIT_PER_SECOND)));
+        double _learning = sendLookupsFor(STABLE_WINDOW_SECONDS);
+        int before = limitedRequests();
+        double seconds = sendLookupsFor(MEASURED_SECONDS);
+        int received = limitedRequests() - before;
+        if (received > TOLERANCE_FACTOR * LIMIT_PER_SECOND * seconds + TOLERATED_REQUESTS) {
+            checker.addFinding(LIMITED_SERVER + ": received " + received + " requests in " + seconds
+                    + " s with a limit of " + LIMIT_PER_SECOND + " a second");
+        }
+        fleet.runOnLoop(() -> fleet.backends().get(LIMITED_SERVER).setRequestLimit(OptionalDouble.empty()));
+    }
+
+    private double sendLookupsFor(double seconds) throws InterruptedException {
+        long startNanos = System.nanoTime();
+        double elapsed = 0;
+        while (elapsed < seconds) {
+            requests++;
+            SoakCaller.Exchange exchange =
+                    caller.sendLookup(String.valueOf(requests), addresses.get(requests % addresses.size()));
+            checker.onSent(exchange.request());
+            Thread.sleep(REQUEST_PAUSE_MILLIS);
+            elapsed = (System.nanoTime() - startNanos) / NANOS_PER_SECOND;
+        }
+        return elapsed;
+    }
+
+    private int limitedRequests() {
+        int[] count = new int[1];
+        fleet.runOnLoop(() -> count[0] =
+                fleet.backends().get(LIMITED_SERVER).receivedRequests().size());
+        return count[0];
+    }
+}
--- a/soak/src/test/java/io/heatherloft/soak/SoakTest.java
+++ b/soak/src/test/java/io/heatherloft/soak/SoakTest.java
@@ -107,7 +107,7 @@
 
         @Test
         void violates_no_invariant() throws InterruptedException {
-            SoakRun run = new SoakRun(1, 12, directory);
+            SoakRun run = new SoakRun(1, 12, 3, directory);
             List<String> findings = run.run();
             assertWithMessage("%s", run.trace()).that(findings).isEmpty();
         }
--- a/entry/src/test/java/io/heatherloft/entry/ClosingServer.java
+++ b/standins/src/main/java/io/heatherloft/standins/platform/ClosingServerStandIn.java
@@ -1,4 +1,4 @@
-package io.heatherloft.entry;
+package io.heatherloft.standins.platform;
 
 import java.io.IOException;
 import java.net.InetAddress;
@@ -10,11 +10,11 @@
 import java.util.regex.Pattern;
 
 /**
- * A server whose streamed responses have neither a length nor chunks and end with their connection.
+ * Stand-in for a backend server whose streamed responses have neither a length nor chunks and end with their connection.
  *
  * <p>Safe for use by several threads.
  */
-final class ClosingServer implements AutoCloseable {
+public final class ClosingServerStandIn implements AutoCloseable {
     private static final Pattern ATTEMPT_ID = Pattern.compile("(?i)x-attempt-id: *([^\r\n]+)");
 
     private final ServerSocket listening;
@@ -22,7 +22,7 @@
     private final AtomicInteger requests = new AtomicInteger();
 
     /** Starts a server that sends the same body in each response. */
-    ClosingServer(String body) {
+    public ClosingServerStandIn(String body) {
         this.body = body;
         try {
             this.listening = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
@@ -34,11 +34,13 @@
         thread.start();
     }
 
-    int port() {
+    /** Returns the port that the server listens on. */
+    public int port() {
         return listening.getLocalPort();
     }
 
-    int requests() {
+    /** Returns the number of requests received. */
+    public int requests() {
         return requests.get();
     }
 
--- a/standins/src/main/java/io/heatherloft/standins/platform/PlatformFixtures.java
+++ b/standins/src/main/java/io/heatherloft/standins/platform/PlatformFixtures.java
@@ -18,6 +18,8 @@
     /** Workspace to which the API key of the sample configuration belongs. */
     public static final String WORKSPACE = "malmo";
 
+    private static final long FIRST_START_MILLIS = 1_772_662_159_541L;
+
     private PlatformFixtures() {}
 
     /** Returns a configuration with one engine service, one plain service and one workspace with one API key. */
@@ -48,11 +50,24 @@
 
     /** Returns the store entry of a backend server on the loopback address, in the given state. */
     public static String backendEntry(String service, int port, String version, String state) {
+        return backendEntry(service, port, version, state, 0);
+    }
+
+    /**
+     * Returns the store entry of a ready backend server on the loopback address.
+     *
+     * @param starts number of times that the server has started again
+     */
+    public static String backendEntry(String service, int port, String version, int starts) {
+        return backendEntry(service, port, version, "ready", starts);
+    }
+
+    private static String backendEntry(String service, int port, String version, String state, int starts) {
         return """
                 {"service":"%s","address":"127.0.0.1:%d","zone":"a","version":"%s","slots":64,"state":"%s",
-                "cold_left_ms":0,"seq":1,"born":1772662159541}
+                "cold_left_ms":0,"seq":1,"born":%d}
                 """
-                .formatted(service, port, version, state);
+                .formatted(service, port, version, state, FIRST_START_MILLIS + starts);
     }
 
     /**
