--- a/router/src/main/java/io/heatherloft/router/fleet/BackendServerState.java
+++ b/router/src/main/java/io/heatherloft/router/fleet/BackendServerState.java
@@ -13,6 +13,7 @@
 public final class BackendServerState {
     private final BackendEndpoint endpoint;
     private final long idHash;
+    private final long incarnationHash;
     private final BackendHealth health = new BackendHealth();
     // A fifth of an engine's KV cache, which is shared with the prompts of other hosts and with running requests.
     private final RecentPromptPrefixes recentPrefixes = new RecentPromptPrefixes(150_000L);
@@ -28,6 +29,7 @@
         this.revision = revision;
         this.endpoint = new BackendEndpoint(entry.id(), entry.address());
         this.idHash = StableHash.of(entry.id());
+        this.incarnationHash = StableHash.of(incarnation());
     }
 
     void update(BackendRegistration newEntry, long newRevision) {
@@ -63,6 +65,11 @@
         return endpoint;
     }
 
+    /** Returns a hash of the incarnation, by which hosts refer to it in messages. */
+    public long incarnationHash() {
+        return incarnationHash;
+    }
+
     /** Returns a hash of the server's ID, for rendezvous hashing. */
     public long idHash() {
         return idHash;
--- a/router/src/main/java/io/heatherloft/router/fleet/CrashingPrompts.java
+++ b/router/src/main/java/io/heatherloft/router/fleet/CrashingPrompts.java
@@ -1,6 +1,5 @@
 package io.heatherloft.router.fleet;
 
-import io.heatherloft.domain.StableHash;
 import io.heatherloft.domain.route.CrashRecord;
 import io.heatherloft.domain.route.CrashingPromptDetector;
 import io.heatherloft.domain.route.CrashingPromptDetector.Accusation;
@@ -54,7 +53,7 @@
 
     /** Records that a server has begun to respond to a request. */
     public Response onResponseStart(BackendServerState server, Prompt prompt) {
-        return detector.recordResponseStart(hashOf(server), prompt, loop.nowMillis());
+        return detector.recordResponseStart(server.incarnationHash(), prompt, loop.nowMillis());
     }
 
     /**
@@ -63,17 +62,17 @@
      * @return true if it should be checked whether the server has crashed
      */
     public boolean onInterruption(BackendServerState server) {
-        return detector.recordInterruption(hashOf(server), loop.nowMillis());
+        return detector.recordInterruption(server.incarnationHash(), loop.nowMillis());
     }
 
     /** Records that a server refuses connections although it was not to be stopped. */
     public void onCrash(BackendServerState server) {
-        logCrash(server, detector.recordCrash(hashOf(server), loop.nowMillis()));
+        logCrash(server, detector.recordCrash(server.incarnationHash(), loop.nowMillis()));
     }
 
     /** Records that a server was removed from the store, or replaced, without having been drained. */
     void onLeave(BackendServerState server) {
-        logCrash(server, detector.recordLeave(hashOf(server), loop.nowMillis()));
+        logCrash(server, detector.recordLeave(server.incarnationHash(), loop.nowMillis()));
     }
 
     private void logCrash(BackendServerState server, int responses) {
@@ -86,10 +85,6 @@
         logChanges();
     }
 
-    private static long hashOf(BackendServerState server) {
-        return StableHash.of(server.incarnation());
-    }
-
     /** Returns true if this host has recently learned something that other hosts must learn soon. */
     public boolean isUrgent() {
         return loop.nowMillis() - detector.lastChangeMillis() <= URGENT_MILLIS;
--- a/router/src/main/java/io/heatherloft/router/peers/ServerLimits.java
+++ b/router/src/main/java/io/heatherloft/router/peers/ServerLimits.java
@@ -47,21 +47,17 @@
      * @return true if a limit was named for the first time, changed or lifted
      */
     public boolean onResponse(BackendServerState server, OptionalDouble requestsPerSecond, long sentMillis) {
-        return shares.recordResponse(hashOf(server), requestsPerSecond, sentMillis, loop.nowMillis());
+        return shares.recordResponse(server.incarnationHash(), requestsPerSecond, sentMillis, loop.nowMillis());
     }
 
     /** Returns true if this host may send the server a request now. */
     public boolean mayUse(BackendServerState server) {
-        return shares.mayUse(hashOf(server), hostCount.getAsInt(), loop.nowMillis());
+        return shares.mayUse(server.incarnationHash(), hostCount.getAsInt(), loop.nowMillis());
     }
 
     /** Records that a request is sent to a server. */
     public void onSend(BackendServerState server) {
-        shares.recordSend(hashOf(server));
-    }
-
-    private static long hashOf(BackendServerState server) {
-        return StableHash.of(server.incarnation());
+        shares.recordSend(server.incarnationHash());
     }
 
     /** Returns true if this host has recently learned something that other hosts must learn soon. */
