Five servers that crashed under two requests are enough to block a prompt part

CrashingPromptDetectorTest.is_blocked_after_crashes_of_five_servers_under_two_requests fails without the change (three different requests were needed).

--- a/domain/src/main/java/io/heatherloft/domain/route/CrashingPromptDetector.java
+++ b/domain/src/main/java/io/heatherloft/domain/route/CrashingPromptDetector.java
@@ -35,6 +35,9 @@
     private static final long RETENTION_MILLIS = 900_000L;
     private static final int BLOCKING_SERVERS = 3;
     private static final int BLOCKING_REQUESTS = 3;
+    // With this number of servers, fewer different requests are enough.
+    private static final int CERTAIN_SERVERS = 5;
+    private static final int MIN_BLOCKING_REQUESTS = 2;
     // A server that crashes on a prompt does so within this time after its response began.
     private static final long MAX_CRASH_DELAY_MILLIS = 1_000L;
     // A server that is up for this time after a response began has not crashed on its prompt.
@@ -290,13 +293,16 @@
 
     private static Optional<Long> findWorst(Map<Long, List<Crash>> suspects, Set<Long> explainedServers) {
         return suspects.keySet().stream()
-                .filter(part -> requestsOf(suspects.get(part)) >= BLOCKING_REQUESTS)
+                .filter(part -> isUnderSeveralRequests(suspects.get(part)))
                 .filter(part -> unexplained(suspects.get(part), explainedServers) >= BLOCKING_SERVERS)
                 .max(Comparator.comparingLong(part -> unexplained(suspects.get(part), explainedServers)));
     }
 
-    private static long requestsOf(List<Crash> crashes) {
-        return crashes.stream().map(Crash::request).distinct().count();
+    // A request that is retried can meet several crashes by chance; many crashes make that unlikely.
+    private static boolean isUnderSeveralRequests(List<Crash> crashes) {
+        long requests = crashes.stream().map(Crash::request).distinct().count();
+        return requests >= BLOCKING_REQUESTS
+                || (requests >= MIN_BLOCKING_REQUESTS && serversOf(crashes).size() >= CERTAIN_SERVERS);
     }
 
     private static long unexplained(List<Crash> crashes, Set<Long> explainedServers) {
--- a/domain/src/test/java/io/heatherloft/domain/route/CrashingPromptDetectorTest.java
+++ b/domain/src/test/java/io/heatherloft/domain/route/CrashingPromptDetectorTest.java
@@ -69,6 +69,21 @@
             assertThat(isBlocked(1_000, CRASHING_PART)).isFalse();
         }
 
+        // Requests that come slowly: the first two of them, sent again and again, crash five servers.
+        @Test
+        void is_blocked_after_crashes_of_five_servers_under_two_requests() {
+            soundResponse(0, FIRST_PART);
+            List<Prompt> requestsInOrder =
+                    List.of(prompt(FIRST_PART, CRASHING_PART), prompt(FIRST_PART, CRASHING_PART));
+            LongStream.range(0, 5).forEach(index -> {
+                assertThat(isBlocked(4_000 + index, CRASHING_PART)).isFalse();
+                Response _response = detector.recordResponseStart(
+                        100 + index, requestsInOrder.get(index < 3 ? 0 : 1), 4_000 + index);
+                int _responses = detector.recordCrash(100 + index, 4_050 + index);
+            });
+            assertThat(isBlocked(5_000, CRASHING_PART)).isTrue();
+        }
+
         @Test
         void is_tried_again_after_the_quarantine_and_blocked_by_one_more_crash() {
             soundResponse(0, FIRST_PART);
