A late report of soundness releases a part for which too few crashes remain

Accusations were worked out anew only when a report cleared all crashes of a part. If it cleared some, a host went on blocking the part until its next news. The new case of CrashingPromptDetectorTest failed before the change.

--- a/domain/src/main/java/io/heatherloft/domain/route/CrashingPromptDetector.java
+++ b/domain/src/main/java/io/heatherloft/domain/route/CrashingPromptDetector.java
@@ -238,9 +238,9 @@
             return;
         }
         List<Crash> suspected = crashesByPart.getOrDefault(sound.part(), List.of());
-        boolean accusedBefore = suspected.stream().anyMatch(this::counts);
+        long countingBefore = suspected.stream().filter(this::counts).count();
         soundAtMillis.put(sound.part(), sound.atMillis());
-        if (accusedBefore && suspected.stream().noneMatch(this::counts)) {
+        if (suspected.stream().filter(this::counts).count() < countingBefore) {
             accusationsOutdated = true;
             lastChangeMillis = nowMillis;
         }
--- a/domain/src/test/java/io/heatherloft/domain/route/CrashingPromptDetectorTest.java
+++ b/domain/src/test/java/io/heatherloft/domain/route/CrashingPromptDetectorTest.java
@@ -5,6 +5,7 @@
 import io.heatherloft.domain.route.CrashingPromptDetector.CrashedServer;
 import io.heatherloft.domain.route.CrashingPromptDetector.Prompt;
 import io.heatherloft.domain.route.CrashingPromptDetector.Response;
+import io.heatherloft.domain.route.CrashingPromptDetector.SoundPart;
 import java.util.List;
 import java.util.stream.LongStream;
 import org.junit.jupiter.api.Nested;
@@ -103,6 +104,17 @@
             assertThat(isBlocked(8_000, CRASHING_PART)).isFalse();
         }
 
+        // A report of soundness that arrives late clears only the crashes before it and soon after it.
+        @Test
+        void is_released_when_too_few_crashes_remain_after_a_late_report_that_it_was_sound() {
+            crash(101, 19_000, CRASHING_PART);
+            crash(102, 19_100, CRASHING_PART);
+            crash(103, 21_000, CRASHING_PART);
+            assertThat(isBlocked(21_200, CRASHING_PART)).isTrue();
+            detector.mergeSoundPart(new SoundPart(CRASHING_PART, 5_000), 21_200);
+            assertThat(isBlocked(21_300, CRASHING_PART)).isFalse();
+        }
+
         @Test
         void is_not_suspected_of_crashes_soon_after_it_was_sound() {
             soundResponse(0, FIRST_PART, CRASHING_PART);
