--- a/entry/src/test/java/io/heatherloft/entry/CrashingPromptTest.java
+++ b/entry/src/test/java/io/heatherloft/entry/CrashingPromptTest.java
@@ -67,9 +67,8 @@
 
     private long crashingRequestsReceived() {
         return harness.onLoop(() -> servers.stream()
-                .flatMap(server -> server.receivedRequests().stream())
-                .filter(request -> request.headers().get("X-Prompt-Prefix").contains(CRASHING_PART))
-                .count());
+                .mapToLong(server -> server.receivedRequestsWithPart(CRASHING_PART))
+                .sum());
     }
 
     // Of the reasons for a refusal, this one alone asks callers to wait for five minutes.
--- a/soak/src/main/java/io/heatherloft/soak/SoakCaller.java
+++ b/soak/src/main/java/io/heatherloft/soak/SoakCaller.java
@@ -86,12 +86,8 @@
      */
     Optional<HttpResponse<String>> sendStream(InvariantChecker.SentRequest request, String part, String address)
             throws InterruptedException {
-        Map<String, String> headers =
-                PlatformFixtures.streamHeaders(request.id(), SoakFleet.API_KEY, DEADLINE_MILLIS, request.id());
-        headers.put(
-                "X-Prompt-Prefix",
-                "5c1e07a2:800," + part + ":410,"
-                        + Integer.toHexString(request.id().hashCode()) + ":250");
+        Map<String, String> headers = PlatformFixtures.streamHeaders(
+                request.id(), SoakFleet.API_KEY, DEADLINE_MILLIS, "5c1e07a2:800," + part + ":410", request.id());
         HttpRequest httpRequest = newRequestBuilder("http://" + address + "/plans/north", headers)
                 .POST(HttpRequest.BodyPublishers.ofString("hello " + request.id()))
                 .build();
--- a/soak/src/main/java/io/heatherloft/soak/TroubledServerChecks.java
+++ b/soak/src/main/java/io/heatherloft/soak/TroubledServerChecks.java
@@ -116,9 +116,8 @@
     private long crashingRequests() {
         long[] count = new long[1];
         fleet.runOnLoop(() -> count[0] = fleet.backends().values().stream()
-                .flatMap(backend -> backend.receivedRequests().stream())
-                .filter(request -> request.headers().get("X-Prompt-Prefix", "").contains(SoakFleet.CRASHING_PART))
-                .count());
+                .mapToLong(backend -> backend.receivedRequestsWithPart(SoakFleet.CRASHING_PART))
+                .sum());
         return count[0];
     }
 
--- a/standins/src/main/java/io/heatherloft/standins/platform/PlatformFixtures.java
+++ b/standins/src/main/java/io/heatherloft/standins/platform/PlatformFixtures.java
@@ -109,9 +109,20 @@
      * @param sharedParts parts of the prompt that precede the request's own, as ID:TOKENS separated by commas
      */
     public static String streamRequest(String id, String key, String sharedParts) {
-        Map<String, String> headers = streamHeaders(id, key, 5_000, "session-" + id);
-        headers.put("X-Prompt-Prefix", sharedParts + ',' + Integer.toHexString(id.hashCode()) + ":250");
-        return request("POST", "/plans/north", headers, "hello " + id);
+        return request("POST", "/plans/north", streamHeaders(id, key, 5_000, sharedParts, id), "hello " + id);
+    }
+
+    /**
+     * Returns the headers of a streaming request of a session of its own.
+     *
+     * @param sharedParts parts of the prompt that precede the request's own, as ID:TOKENS separated by commas
+     * @param ownPart text from which the ID of the request's own part is derived
+     */
+    public static Map<String, String> streamHeaders(
+            String id, String key, long deadlineMillis, String sharedParts, String ownPart) {
+        Map<String, String> headers = streamHeaders(id, key, deadlineMillis, "session-" + id);
+        headers.put("X-Prompt-Prefix", sharedParts + ',' + Integer.toHexString(ownPart.hashCode()) + ":250");
+        return headers;
     }
 
     /** Returns a request to a plain service as HTTP/1.1 text. */
--- a/standins/src/main/java/io/heatherloft/standins/platform/RunnerStandIn.java
+++ b/standins/src/main/java/io/heatherloft/standins/platform/RunnerStandIn.java
@@ -136,6 +136,13 @@
         return receivedRequests;
     }
 
+    /** Returns the number of requests received whose prompts contain a part, other than as their last one. */
+    public long receivedRequestsWithPart(String part) {
+        return receivedRequests.stream()
+                .filter(request -> isPromptPart(part, request))
+                .count();
+    }
+
     /** Returns the requests that were executed, in order; the list is live. */
     public List<ExecutedRequest> executedRequests() {
         return executedRequests;
@@ -238,10 +245,12 @@
     }
 
     private boolean hasCrashingPart(CallerRequest request) {
+        return crashingPart.filter(part -> isPromptPart(part, request)).isPresent();
+    }
+
+    private static boolean isPromptPart(String id, CallerRequest request) {
         String[] parts = request.headers().get("X-Prompt-Prefix", "").split(",", -1);
-        return Arrays.stream(parts).limit(parts.length - 1L).anyMatch(part -> crashingPart
-                .filter(id -> part.startsWith(id + ':'))
-                .isPresent());
+        return Arrays.stream(parts).limit(parts.length - 1L).anyMatch(part -> part.startsWith(id + ':'));
     }
 
     private void send(CallerExchange exchange, int status, HttpHeaders headers, String text) {
