A stored value that is ignored because a newer one is known is logged

'stored_value' lines with the outcome 'outdated' tell the key, its revision and the known one, if the values differ. With them a change that reaches a host and is ignored can be told from one that never reaches it (docs/incidents/restored-store.md).

--- a/router/src/main/java/io/heatherloft/router/fleet/FleetView.java
+++ b/router/src/main/java/io/heatherloft/router/fleet/FleetView.java
@@ -147,10 +147,21 @@
                     .ifPresentOrElse(
                             value -> onPut(new StoreValue(change.key(), value, change.revision())),
                             () -> onDelete(change.key(), change.revision()));
+        } else {
+            prefix.flatMap(found -> found.replica.find(change.key()))
+                    .filter(known -> !known.value().equals(change.value()))
+                    .ifPresent(known -> logOutdated(change, known));
         }
         return newer;
     }
 
+    private void logOutdated(PrefixReplica.Change change, PrefixReplica.Change known) {
+        log.stateChange("stored_value", line -> line.with("key", change.key())
+                .with("revision", change.revision())
+                .with("known_revision", known.revision())
+                .with("outcome", "outdated"));
+    }
+
     private void onPut(StoreValue value) {
         String key = value.key();
         try {
--- a/router/src/main/java/io/heatherloft/router/fleet/PrefixReplica.java
+++ b/router/src/main/java/io/heatherloft/router/fleet/PrefixReplica.java
@@ -56,6 +56,11 @@
         return true;
     }
 
+    /** Returns the newest known change of a key. */
+    public Optional<Change> find(String key) {
+        return Optional.ofNullable(changes.get(key));
+    }
+
     /** Records that every change up to a revision has been applied. */
     public void advanceTo(long revision) {
         knownRevision = Math.max(knownRevision, revision);
