--- a/standins/src/main/java/io/heatherloft/standins/platform/StoreStandIn.java
+++ b/standins/src/main/java/io/heatherloft/standins/platform/StoreStandIn.java
@@ -16,15 +16,18 @@
 import java.util.ArrayList;
 import java.util.Base64;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.TreeMap;
+import java.util.stream.StreamSupport;
 
 /**
  * In-memory stand-in for the platform's metadata store.
  *
- * <p>Invariant: every change increments the revision by one. Confined to the event loop's thread.
+ * <p>Invariant: within an era, every change increments the revision by one. Confined to the event loop's thread.
  */
 public final class StoreStandIn implements CallerHandler {
     private static final ObjectMapper JSON = new ObjectMapper();
@@ -44,6 +47,8 @@
     private long revision = 1;
     private long compactedRevision;
     private long lastLeaseId;
+    private final Set<Long> leases = new HashSet<>();
+    private long era = 1;
 
     /** Creates an empty store. */
     public StoreStandIn(Loop loop) {
@@ -66,11 +71,15 @@
     public void setFault(Fault newFault) {
         this.fault = newFault;
         if (newFault != Fault.NONE) {
-            List.copyOf(pendingCalls).forEach(call -> call.exchange().abort());
-            pendingCalls.clear();
+            breakPendingCalls();
         }
     }
 
+    private void breakPendingCalls() {
+        List.copyOf(pendingCalls).forEach(call -> call.exchange().abort());
+        pendingCalls.clear();
+    }
+
     /** Writes a key unconditionally, as an operator or a backend server would. */
     public void put(String key, String value) {
         revision++;
@@ -103,6 +112,27 @@
         delete(BACKEND_KEY_PREFIX + id);
     }
 
+    /** Returns a copy of the contents, from which the store can be restored later. */
+    public Copy copy() {
+        return new Copy(new TreeMap<>(entries), List.copyOf(history), Set.copyOf(leases), revision);
+    }
+
+    /**
+     * Replaces the contents by those of a copy and begins a new era: changes and leases since the copy are gone, and their
+     * revisions are given out again. Breaks the connections of pending calls.
+     */
+    public void restore(Copy copy) {
+        entries.clear();
+        entries.putAll(copy.entries());
+        history.clear();
+        history.addAll(copy.history());
+        leases.clear();
+        leases.addAll(copy.leases());
+        revision = copy.revision();
+        era++;
+        breakPendingCalls();
+    }
+
     /** Compacts the event history; watches from an older revision get status 410 and must re-read the range. */
     public void compactHistory() {
         history.clear();
@@ -148,12 +178,14 @@
             transaction(request, exchange);
         } else if (path.equals("/v1/kv-lease")) {
             lastLeaseId++;
+            leases.add(lastLeaseId);
             respond(
                     exchange,
                     OK,
                     JSON.createObjectNode().put("lease", lastLeaseId).put("ttl_ms", 3_000));
         } else if (path.startsWith("/v1/kv-keep/")) {
-            respond(exchange, OK, JSON.createObjectNode().put("ttl_ms", 3_000));
+            boolean exists = leases.contains(Long.parseLong(path.substring("/v1/kv-keep/".length())));
+            respond(exchange, exists ? OK : NOT_FOUND, JSON.createObjectNode().put("ttl_ms", 3_000));
         } else {
             respond(exchange, NOT_FOUND, JSON.createObjectNode());
         }
@@ -171,7 +203,7 @@
 
     private void watch(QueryStringDecoder query, CallerExchange exchange) {
         long after = Long.parseLong(queryParameter(query, "after"));
-        if (after < compactedRevision) {
+        if (after < compactedRevision || after > revision) {
             respond(exchange, GONE, JSON.createObjectNode());
             return;
         }
@@ -228,6 +260,13 @@
                 respond(exchange, PRECONDITION_FAILED, JSON.createObjectNode());
                 return;
             }
+            boolean leasesExist = StreamSupport.stream(body.path("set_keys").spliterator(), false)
+                    .mapToLong(set -> set.path("lease").asLong())
+                    .allMatch(lease -> lease == 0 || leases.contains(lease));
+            if (!leasesExist) {
+                respond(exchange, NOT_FOUND, JSON.createObjectNode());
+                return;
+            }
             body.path("set_keys")
                     .forEach(set -> put(
                             set.path("key").asText(),
@@ -257,18 +296,22 @@
         return query.parameters().getOrDefault(name, List.of("")).get(0);
     }
 
-    private static void respond(CallerExchange exchange, int status, JsonNode body) {
+    private void respond(CallerExchange exchange, int status, JsonNode body) {
         DefaultHttpHeaders headers = new DefaultHttpHeaders();
         headers.set("Content-Type", "application/json");
         headers.set("Keep-Alive", "timeout=30");
+        headers.set("Store-Era", era);
         exchange.sendResponse(
                 status, headers, Unpooled.wrappedBuffer(body.toString().getBytes(StandardCharsets.UTF_8)));
     }
 
+    /** Contents of the store at a revision. */
+    public record Copy(Map<String, StoredEntry> entries, List<Event> history, Set<Long> leases, long revision) {}
+
     @SuppressWarnings({"ArrayRecordComponent", "DangerousRecordArrayField"}) // Never compared by equals.
-    private record StoredEntry(String key, byte[] value, long revision) {}
+    record StoredEntry(String key, byte[] value, long revision) {}
 
-    private record Event(String key, long revision, Optional<StoredEntry> entry) {}
+    record Event(String key, long revision, Optional<StoredEntry> entry) {}
 
     private record PendingCall(String prefix, long after, CallerExchange exchange) {}
 }
