--- a/entry/src/main/java/io/heatherloft/entry/EntryHost.java
+++ b/entry/src/main/java/io/heatherloft/entry/EntryHost.java
@@ -33,11 +33,13 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.nio.channels.ServerSocketChannel;
 import java.util.Optional;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
+import java.util.function.Function;
 
 /**
  * Creates and connects the components of one entry host, and starts and stops them.
@@ -79,7 +81,8 @@
     private final FleetGossip gossip;
     private boolean stopping;
 
-    private EntryHost(PlatformSettings settings, LineQueue logQueue) {
+    private EntryHost(
+            PlatformSettings settings, LineQueue logQueue, Function<String, InetSocketAddress> serverAddresses) {
         this.startedAtNanos = System.nanoTime();
         this.settings = settings;
         this.logQueue = logQueue;
@@ -114,7 +117,8 @@
                 settings.hostName(),
                 settings.peerAddress().orElse(""),
                 settings.seedAddresses());
-        BackendConnectionPool backendPool = new BackendConnectionPool(group, loop, ConnectionPoolSettings.DEFAULT);
+        BackendConnectionPool backendPool =
+                new BackendConnectionPool(group, loop, ConnectionPoolSettings.DEFAULT, serverAddresses);
         this.engine = new RequestEngine(
                 loop,
                 fleetView,
@@ -169,7 +173,21 @@
      */
     static EntryHost start(
             PlatformSettings settings, LineQueue logQueue, EarlyListener earlyListener, int metricsPort) {
-        EntryHost host = new EntryHost(settings, logQueue);
+        return start(settings, logQueue, earlyListener, metricsPort, SocketAddresses::parse);
+    }
+
+    /**
+     * Starts a host as above.
+     *
+     * @param serverAddresses returns the socket address for the address of a backend server
+     */
+    static EntryHost start(
+            PlatformSettings settings,
+            LineQueue logQueue,
+            EarlyListener earlyListener,
+            int metricsPort,
+            Function<String, InetSocketAddress> serverAddresses) {
+        EntryHost host = new EntryHost(settings, logQueue, serverAddresses);
         try {
             host.listenForCallers(earlyListener).join();
             host.listen(host.readinessServer, settings.readinessAddress()).join();
--- a/entry/src/test/java/io/heatherloft/entry/EntryHostHarness.java
+++ b/entry/src/test/java/io/heatherloft/entry/EntryHostHarness.java
@@ -1,6 +1,7 @@
 package io.heatherloft.entry;
 
 import io.heatherloft.platform.PlatformSettings;
+import io.heatherloft.ports.http.SocketAddresses;
 import io.heatherloft.router.http.CallerServer;
 import io.heatherloft.standins.platform.PlatformFixtures;
 import io.heatherloft.standins.platform.RunnerStandIn;
@@ -8,6 +9,7 @@
 import io.heatherloft.standins.platform.StoreStandIn;
 import java.io.IOException;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
@@ -20,6 +22,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.BooleanSupplier;
+import java.util.function.Function;
 import java.util.function.Supplier;
 
 /**
@@ -106,6 +109,21 @@
 
     EntryHost startHost(
             String name, int peerPort, List<Integer> seedPorts, String callerAddress, EarlyListener earlyListener) {
+        return startHost(name, peerPort, seedPorts, callerAddress, earlyListener, SocketAddresses::parse);
+    }
+
+    /** Starts a host that reaches the backend servers through links, which can be cut. */
+    EntryHost startHost(String name, int peerPort, List<Integer> seedPorts, ServerLinks links) {
+        return startHost(name, peerPort, seedPorts, "127.0.0.1:0", EarlyListener.none(), links::addressOf);
+    }
+
+    private EntryHost startHost(
+            String name,
+            int peerPort,
+            List<Integer> seedPorts,
+            String callerAddress,
+            EarlyListener earlyListener,
+            Function<String, InetSocketAddress> serverAddresses) {
         PlatformSettings settings = new PlatformSettings(
                 name,
                 "127.0.0.1",
@@ -120,7 +138,7 @@
                 0.9,
                 52,
                 10_000L);
-        EntryHost host = EntryHost.start(settings, EntryHost.newLogQueue(), earlyListener, 0);
+        EntryHost host = EntryHost.start(settings, EntryHost.newLogQueue(), earlyListener, 0, serverAddresses);
         hosts.add(host);
         return host;
     }
--- a/router/src/main/java/io/heatherloft/router/backend/BackendConnectionPool.java
+++ b/router/src/main/java/io/heatherloft/router/backend/BackendConnectionPool.java
@@ -22,6 +22,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Function;
 import jdk.net.ExtendedSocketOptions;
 
 /**
@@ -39,6 +40,7 @@
 
     private final Loop loop;
     private final ConnectionPoolSettings settings;
+    private final Function<String, InetSocketAddress> addresses;
     private final Bootstrap bootstrap;
     private final Map<BackendEndpoint, Deque<BackendConnection>> idle = new HashMap<>();
     private long opened;
@@ -46,8 +48,22 @@
 
     /** Creates an empty pool. */
     public BackendConnectionPool(EventLoopGroup group, Loop loop, ConnectionPoolSettings settings) {
+        this(group, loop, settings, SocketAddresses::parse);
+    }
+
+    /**
+     * Creates an empty pool.
+     *
+     * @param addresses returns the socket address for the address of a server
+     */
+    public BackendConnectionPool(
+            EventLoopGroup group,
+            Loop loop,
+            ConnectionPoolSettings settings,
+            Function<String, InetSocketAddress> addresses) {
         this.loop = loop;
         this.settings = settings;
+        this.addresses = addresses;
         this.bootstrap = new Bootstrap()
                 .group(group)
                 .channel(NioSocketChannel.class)
@@ -75,7 +91,7 @@
         ChannelFuture connecting = bootstrap
                 .clone()
                 .handler(new ChannelInboundHandlerAdapter())
-                .connect(SocketAddresses.parse(endpoint.address()));
+                .connect(addresses.apply(endpoint.address()));
         connecting.addListener(_done -> {
             if (connecting.isSuccess()) {
                 ChannelFuture _closed = connecting.channel().close();
@@ -122,7 +138,7 @@
 
     private BackendExchange connect(BackendEndpoint endpoint, FullHttpRequest request, ResponseListener listener) {
         BackendConnection connection = new BackendConnection(this, loop, settings, endpoint);
-        InetSocketAddress address = SocketAddresses.parse(endpoint.address());
+        InetSocketAddress address = addresses.apply(endpoint.address());
         BackendExchange exchange = connection.startExchange(request, listener);
         ChannelFuture connecting = bootstrap
                 .clone()
