Hosts that have lost their links to the backend servers reach them through other hosts

Callers of a host that was cut off from all servers got 503 for every request, though other hosts reached the servers (0 of 88 first attempts, the others 234 of 237), and such hosts recorded prompts as crashing, so that hosts in touch refused them too. Cause: a host took what it saw on its own links for the state of the servers. Class of fault: no way around one's own links, and nobody to ask.

A host that cannot connect to a server asks another one to connect and passes its bytes through it; the request stays with the host that admitted it, so limits, retries, versions and counts are those of one request. A server counts as crashed only when the other hosts that were asked cannot connect either. Direct connections are probed and used again with the first success.

Ruled out: servers that were avoided after the cut, as the cause of the report.

--- a/domain/src/main/java/io/heatherloft/domain/route/BackendHealth.java
+++ b/domain/src/main/java/io/heatherloft/domain/route/BackendHealth.java
@@ -48,6 +48,14 @@
         recordFailure(nowMillis);
     }
 
+    /** Forgets the failures, which were not the server's. */
+    public void forgetFailures() {
+        failureRate = 0;
+        ejected = false;
+        ejectionMillis = INITIAL_EJECTION_MILLIS;
+        probeInProgress = false;
+    }
+
     /** Records that a request ended without evidence about the health of the server. */
     public void recordInconclusive() {
         probeInProgress = false;
--- a/entry/src/main/java/io/heatherloft/entry/EntryHost.java
+++ b/entry/src/main/java/io/heatherloft/entry/EntryHost.java
@@ -16,6 +16,7 @@
 import io.heatherloft.router.backend.BackendConnectionPool;
 import io.heatherloft.router.backend.BackendEndpoint;
 import io.heatherloft.router.backend.ConnectionPoolSettings;
+import io.heatherloft.router.backend.RelayServer;
 import io.heatherloft.router.fleet.BackendRegistry;
 import io.heatherloft.router.fleet.CrashRecorder;
 import io.heatherloft.router.fleet.FleetView;
@@ -39,6 +40,7 @@
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
+import java.util.function.Consumer;
 import java.util.function.Function;
 
 /**
@@ -79,6 +81,8 @@
     private final PeerTraffic peerTraffic = new PeerTraffic();
     private final NettyPeerNetwork peerNetwork;
     private final FleetGossip gossip;
+    private final RelayServer relayServer;
+    private final Consumer<String> onRelayListening;
     private boolean stopping;
 
     private EntryHost(
@@ -130,6 +134,15 @@
                 engineSettings(settings),
                 log,
                 metrics);
+        Random relayOrder = new Random();
+        backendPool.useOtherHosts(() -> reports.relayAddresses(relayOrder), lost -> onServerLinks(lost, registry));
+        this.relayServer = backendPool.newRelayServer(endpoint -> registry.find(endpoint.id())
+                .filter(server -> server.endpoint().equals(endpoint))
+                .isPresent());
+        this.onRelayListening =
+                address -> reports.offerRelay(settings.availabilityZone(), address, backendPool::isCutOff);
+        metrics.gauge("backend_connections_relayed", () -> backendPool::relayed);
+        metrics.gauge("backend_links_lost", () -> () -> backendPool.isCutOff() ? 1 : 0);
         metrics.gauge("backend_connections_opened", () -> backendPool::opened);
         metrics.gauge("backend_connections_reused", () -> backendPool::reused);
         metrics.gauge("store_reachable", () -> () -> fleetView.isStoreReachable() ? 1 : 0);
@@ -152,6 +165,16 @@
                 new CallerServer(group, loop, () -> CallerLimits.DEFAULT, new MetricsHandler(metrics), _status -> {});
     }
 
+    private void onServerLinks(boolean lost, BackendRegistry registry) {
+        if (lost) {
+            // The failures were those of this host's links.
+            registry.all().forEach(server -> server.health().forgetFailures());
+        }
+        log.lifecycle(lost ? "dependency_lost" : "dependency_regained", line -> line.with(
+                        "dependency", "backend_servers")
+                .with("reason", lost ? "other hosts reach servers that this host does not" : "connected directly"));
+    }
+
     private static EngineSettings engineSettings(PlatformSettings settings) {
         return new EngineSettings(
                 settings.availabilityZone(),
@@ -193,6 +216,10 @@
             host.listen(host.readinessServer, settings.readinessAddress()).join();
             host.listen(host.metricsServer, settings.ipAddress() + ":" + metricsPort)
                     .join();
+            String relayAddress = host.relayServer
+                    .listen(settings.ipAddress(), settings.relayPort())
+                    .join();
+            host.loop.execute(() -> host.onRelayListening.accept(relayAddress));
             settings.peerAddress()
                     .ifPresent(address -> new NettyPeerServer(
                             host.group, SocketAddresses.parse(address), host.loop, host.peerTraffic, host.gossip));
--- a/router/src/main/java/io/heatherloft/router/backend/BackendConnectionPool.java
+++ b/router/src/main/java/io/heatherloft/router/backend/BackendConnectionPool.java
@@ -1,12 +1,12 @@
 package io.heatherloft.router.backend;
 
+import io.heatherloft.domain.route.ServerReachability;
 import io.heatherloft.ports.http.SocketAddresses;
 import io.heatherloft.ports.loop.Loop;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInboundHandlerAdapter;
-import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.EventLoopGroup;
@@ -18,18 +18,28 @@
 import java.net.ConnectException;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
+import java.util.Collections;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.IdentityHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Consumer;
 import java.util.function.Function;
+import java.util.function.Predicate;
+import java.util.function.Supplier;
+import java.util.stream.Stream;
 import jdk.net.ExtendedSocketOptions;
 
 /**
  * Pool of HTTP connections to backend servers.
  *
  * <p>A connection carries one exchange at a time. An idle connection is reused only for the endpoint that it was opened
- * for, in last-in, first-out order, so that surplus connections reach their idle timeout. Confined to the loop's thread.
+ * for, in last-in, first-out order, so that surplus connections reach their idle timeout. If other hosts are known, a
+ * server to which a direct connection fails is reached through one of them, and the direct way is probed until it works
+ * again. Confined to the loop's thread.
  */
 public final class BackendConnectionPool {
     private static final int MAX_HEADER_BYTES = 16_384;
@@ -37,14 +47,28 @@
     // response is awaited.
     private static final int KEEPALIVE_SECONDS = 1;
     private static final int KEEPALIVE_PROBES = 2;
+    private static final long PROBE_MILLIS = 250L;
+    // If nothing arrives for this time while responses are awaited, the links may be gone.
+    private static final long QUIET_MILLIS = 500L;
+    private static final long QUIET_PROBE_MILLIS = 1_000L;
+    private static final int PROBED_SERVERS = 2;
 
     private final Loop loop;
     private final ConnectionPoolSettings settings;
     private final Function<String, InetSocketAddress> addresses;
     private final Bootstrap bootstrap;
     private final Map<BackendEndpoint, Deque<BackendConnection>> idle = new HashMap<>();
+    private final ServerReachability reachability = new ServerReachability();
+    private final Map<String, BackendEndpoint> probedServers = new HashMap<>();
+    private final Set<BackendConnection> waiting = Collections.newSetFromMap(new IdentityHashMap<>());
+    private Optional<RelayClient> relay = Optional.empty();
+    private Consumer<Boolean> linkListener = _lost -> {};
+    private long lastReceivedMillis;
+    private long nextQuietProbeMillis;
+    private boolean cutOff;
     private long opened;
     private long reused;
+    private long relayed;
 
     /** Creates an empty pool. */
     public BackendConnectionPool(EventLoopGroup group, Loop loop, ConnectionPoolSettings settings) {
@@ -75,6 +99,29 @@
                 .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPCOUNT), KEEPALIVE_PROBES);
     }
 
+    /**
+     * Lets other hosts connect to servers that this host cannot reach.
+     *
+     * @param hosts supplies the addresses of other hosts in the order in which they should be asked
+     * @param listener called with true when this host has lost its links to the servers, and with false when it has them
+     *     again
+     */
+    public void useOtherHosts(Supplier<List<String>> hosts, Consumer<Boolean> listener) {
+        relay = Optional.of(new RelayClient(loop, bootstrap, hosts));
+        linkListener = listener;
+        Loop.Cancellation _running = loop.repeat(PROBE_MILLIS, this::probe);
+    }
+
+    /** Creates a server that connects other hosts to the servers of which {@code isKnown} returns true. */
+    public RelayServer newRelayServer(Predicate<BackendEndpoint> isKnown) {
+        return new RelayServer(bootstrap.config().group(), bootstrap, addresses, isKnown, this::isCutOff);
+    }
+
+    /** Returns true while this host has no links to the servers, although other hosts reach them. */
+    public boolean isCutOff() {
+        return reachability.isCutOff(loop.nowMillis());
+    }
+
     /** Sends a request on an idle connection, or on a new one if there is none. Takes ownership of the request. */
     public BackendExchange send(BackendEndpoint endpoint, FullHttpRequest request, ResponseListener listener) {
         BackendConnection connection = pollIdle(endpoint);
@@ -86,8 +133,24 @@
         return connect(endpoint, request, listener);
     }
 
-    /** Opens and closes a connection to find out whether a server is up; calls the task if it refuses connections. */
+    /**
+     * Opens and closes a connection to find out whether a server is up; calls the task if it refuses connections, those of
+     * other hosts too.
+     */
     public void checkUp(BackendEndpoint endpoint, Runnable onRefused) {
+        tryDirectly(endpoint, failure -> {
+            if (relay.isEmpty() && isRefusal(failure)) {
+                onRefused.run();
+            }
+            tryThroughHost(endpoint, outcome -> {
+                if (outcome.confirmed() && isRefusal(failure)) {
+                    onRefused.run();
+                }
+            });
+        });
+    }
+
+    private void tryDirectly(BackendEndpoint endpoint, Consumer<Throwable> onFailure) {
         ChannelFuture connecting = bootstrap
                 .clone()
                 .handler(new ChannelInboundHandlerAdapter())
@@ -95,12 +158,110 @@
         connecting.addListener(_done -> {
             if (connecting.isSuccess()) {
                 ChannelFuture _closed = connecting.channel().close();
-            } else if (isRefusal(connecting.cause())) {
-                onRefused.run();
+                onDirectConnection(endpoint);
+            } else {
+                onFailure.accept(connecting.cause());
             }
         });
     }
 
+    private void tryThroughHost(BackendEndpoint endpoint, Consumer<RelayClient.Outcome> onFailure) {
+        relay.ifPresent(client -> client.connect(endpoint, outcome -> {
+            if (outcome.channel().isPresent()) {
+                ChannelFuture _closed = outcome.channel().get().close();
+                onReachableByOthers(endpoint);
+            } else {
+                onFailure.accept(outcome);
+            }
+        }));
+    }
+
+    private void probe() {
+        long now = loop.nowMillis();
+        List<String> unreachable = reachability.unreachableServers(now);
+        probedServers.keySet().retainAll(unreachable);
+        updateCutOff();
+        if (!unreachable.isEmpty()) {
+            String probed = unreachable.get((int) (now / PROBE_MILLIS % unreachable.size()));
+            Optional.ofNullable(probedServers.get(probed))
+                    .ifPresent(endpoint -> tryDirectly(endpoint, _failure -> {
+                        if (reachability.isDueForConfirmation(probed, loop.nowMillis())) {
+                            tryThroughHost(endpoint, _outcome -> {});
+                        }
+                    }));
+            return;
+        }
+        boolean quiet = !waiting.isEmpty() && now - lastReceivedMillis >= QUIET_MILLIS;
+        if (quiet && now >= nextQuietProbeMillis) {
+            nextQuietProbeMillis = now + QUIET_PROBE_MILLIS;
+            waiting.stream()
+                    .map(BackendConnection::endpoint)
+                    .distinct()
+                    .limit(PROBED_SERVERS)
+                    .toList()
+                    .forEach(this::check);
+        }
+    }
+
+    private void onDirectConnection(BackendEndpoint endpoint) {
+        reachability.recordDirectConnection(endpoint.id(), loop.nowMillis());
+        updateCutOff();
+    }
+
+    private void onReachableByOthers(BackendEndpoint endpoint) {
+        boolean first = reachability.unreachableServers(loop.nowMillis()).isEmpty();
+        probedServers.put(endpoint.id(), endpoint);
+        reachability.recordReachableByOthers(endpoint.id(), loop.nowMillis());
+        updateCutOff();
+        if (first) {
+            probeOthers(endpoint);
+        }
+    }
+
+    // Tells early whether only the way to one server is gone or all links are.
+    private void probeOthers(BackendEndpoint endpoint) {
+        Stream.concat(waiting.stream().map(BackendConnection::endpoint), idle.keySet().stream())
+                .filter(other -> !other.equals(endpoint))
+                .distinct()
+                .limit(PROBED_SERVERS)
+                .toList()
+                .forEach(this::check);
+    }
+
+    private void check(BackendEndpoint endpoint) {
+        tryDirectly(endpoint, _failure -> tryThroughHost(endpoint, _outcome -> {}));
+    }
+
+    // Connections of the kind that is no longer used are closed, since those that were established before a cut may be
+    // dead.
+    private void updateCutOff() {
+        boolean cutOffNow = isCutOff();
+        if (cutOffNow != cutOff) {
+            cutOff = cutOffNow;
+            idle.values().stream()
+                    .flatMap(connections -> List.copyOf(connections).stream())
+                    .filter(connection -> connection.isRelayed() != cutOffNow)
+                    .toList()
+                    .forEach(BackendConnection::close);
+            linkListener.accept(cutOffNow);
+        }
+    }
+
+    void onExchangeStart(BackendConnection connection) {
+        if (waiting.isEmpty()) {
+            lastReceivedMillis = loop.nowMillis();
+        }
+        waiting.add(connection);
+    }
+
+    void onExchangeEnd(BackendConnection connection) {
+        waiting.remove(connection);
+    }
+
+    void onReceived() {
+        lastReceivedMillis = loop.nowMillis();
+    }
+
     static boolean isRefusal(Throwable cause) {
         return cause instanceof ConnectException && !(cause instanceof ConnectTimeoutException);
     }
@@ -124,6 +285,11 @@
         return reused;
     }
 
+    /** Returns the total number of connections through other hosts. */
+    public long relayed() {
+        return relayed;
+    }
+
     private BackendConnection pollIdle(BackendEndpoint endpoint) {
         Deque<BackendConnection> connections = idle.getOrDefault(endpoint, new ArrayDeque<>());
         while (!connections.isEmpty()) {
@@ -138,25 +304,72 @@
 
     private BackendExchange connect(BackendEndpoint endpoint, FullHttpRequest request, ResponseListener listener) {
         BackendConnection connection = new BackendConnection(this, loop, settings, endpoint);
-        InetSocketAddress address = addresses.apply(endpoint.address());
         BackendExchange exchange = connection.startExchange(request, listener);
+        if (relay.isPresent() && reachability.isUnreachable(endpoint.id(), loop.nowMillis())) {
+            relay.get()
+                    .connect(
+                            endpoint,
+                            outcome -> onRelayOutcome(connection, outcome, () -> {
+                                connectDirectly(
+                                        connection,
+                                        cause -> connection.onConnectFailed(
+                                                cause.getMessage() + "; " + outcome.hosts(), isRefusal(cause), false));
+                            }));
+        } else {
+            connectDirectly(connection, cause -> connectThroughHost(connection, cause));
+        }
+        return exchange;
+    }
+
+    // The connection joins the pipeline once the channel is connected, because it can join only one.
+    private void connectDirectly(BackendConnection connection, Consumer<Throwable> onFailure) {
         ChannelFuture connecting = bootstrap
                 .clone()
-                .handler(new ChannelInitializer<Channel>() {
-                    @Override
-                    protected void initChannel(Channel channel) {
-                        channel.pipeline().addLast(newCodec()).addLast(connection);
-                    }
-                })
-                .connect(address);
+                .handler(new ChannelInboundHandlerAdapter())
+                .connect(addresses.apply(connection.endpoint().address()));
         connecting.addListener(_done -> {
             if (connecting.isSuccess()) {
-                connection.onConnected(connecting.channel());
+                onDirectConnection(connection.endpoint());
+                join(connection, connecting.channel());
             } else {
-                connection.onConnectFailed(connecting.cause());
+                onFailure.accept(connecting.cause());
             }
         });
-        return exchange;
+    }
+
+    private static void join(BackendConnection connection, Channel channel) {
+        channel.pipeline().addLast(newCodec()).addLast(connection);
+        connection.onConnected(channel);
+    }
+
+    private void connectThroughHost(BackendConnection connection, Throwable directFailure) {
+        if (relay.isEmpty() || connection.isClosed()) {
+            connection.onConnectFailed(directFailure.getMessage(), isRefusal(directFailure), true);
+            return;
+        }
+        relay.get().connect(connection.endpoint(), outcome -> {
+            if (outcome.channel().isPresent()) {
+                onReachableByOthers(connection.endpoint());
+            }
+            onRelayOutcome(
+                    connection,
+                    outcome,
+                    () -> connection.onConnectFailed(
+                            directFailure.getMessage() + "; " + outcome.hosts(),
+                            isRefusal(directFailure) && outcome.confirmed(),
+                            outcome.confirmed()));
+        });
+    }
+
+    private void onRelayOutcome(BackendConnection connection, RelayClient.Outcome outcome, Runnable onFailure) {
+        outcome.channel()
+                .ifPresentOrElse(
+                        channel -> {
+                            relayed++;
+                            connection.setRelayed();
+                            join(connection, channel);
+                        },
+                        onFailure);
     }
 
     private static HttpClientCodec newCodec() {
--- a/router/src/main/java/io/heatherloft/router/backend/ExchangeFailure.java
+++ b/router/src/main/java/io/heatherloft/router/backend/ExchangeFailure.java
@@ -6,11 +6,12 @@
  * <p>Immutable and thread-safe.
  *
  * @param refused true if the server's address refused the connection, so that no process listens there
+ * @param confirmed true if no other host could connect to the server either
  */
-public record ExchangeFailure(Kind kind, String reason, boolean refused) {
-    /** Creates a failure that is not a refused connection. */
+public record ExchangeFailure(Kind kind, String reason, boolean refused, boolean confirmed) {
+    /** Creates a failure that tells nothing of the server's address. */
     public ExchangeFailure(Kind kind, String reason) {
-        this(kind, reason, false);
+        this(kind, reason, false, false);
     }
 
     /** Whether the backend server may have processed the request. */
--- a/router/src/main/java/io/heatherloft/router/peers/FleetGossip.java
+++ b/router/src/main/java/io/heatherloft/router/peers/FleetGossip.java
@@ -219,6 +219,7 @@
                 .setSequence(sequence)
                 .setAddress(address)
                 .setStopping(stopping);
+        reports.addRelay(report);
         registry.all().stream()
                 .filter(server -> server.outstanding() > 0)
                 .forEach(server -> report.addLoads(BackendLoad.newBuilder()
--- a/router/src/main/java/io/heatherloft/router/peers/HostReports.java
+++ b/router/src/main/java/io/heatherloft/router/peers/HostReports.java
@@ -2,11 +2,17 @@
 
 import io.heatherloft.peer.generated.HostReport;
 import io.heatherloft.ports.loop.Loop;
+import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Collections;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Random;
+import java.util.function.BooleanSupplier;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
 
 /**
  * The newest report of each other host.
@@ -26,6 +32,9 @@
     private final String self;
     private final Map<String, ReceivedReport> byHost = new HashMap<>();
     private final ServerLimits serverLimits;
+    private String ownZone = "";
+    private String ownRelayAddress = "";
+    private BooleanSupplier ownCutOff = () -> false;
 
     /** Creates an empty collection; reports of the host named {@code self} are ignored. */
     public HostReports(Loop loop, String self) {
@@ -39,6 +48,44 @@
         return serverLimits;
     }
 
+    /**
+     * Announces in this host's reports that it connects other hosts to backend servers.
+     *
+     * @param cutOff returns true while this host has no links to the servers
+     */
+    public void offerRelay(String availabilityZone, String address, BooleanSupplier cutOff) {
+        ownZone = availabilityZone;
+        ownRelayAddress = address;
+        ownCutOff = cutOff;
+    }
+
+    void addRelay(HostReport.Builder report) {
+        report.setAvailabilityZone(ownZone).setRelayAddress(ownRelayAddress).setCutOff(ownCutOff.getAsBoolean());
+    }
+
+    /**
+     * Returns the addresses at which other hosts connect to backend servers, in the order in which they should be asked: one
+     * in the same availability zone, one in another, then the rest. Hosts of one kind are in random order.
+     */
+    public List<String> relayAddresses(Random random) {
+        List<HostReport> offers = new ArrayList<>(alive().stream()
+                .filter(report -> !report.getRelayAddress().isEmpty())
+                .filter(report -> !report.getCutOff() && !report.getStopping())
+                .toList());
+        Collections.shuffle(offers, random);
+        Map<Boolean, List<HostReport>> byNearness = offers.stream()
+                .collect(Collectors.partitioningBy(
+                        report -> report.getAvailabilityZone().equals(ownZone)));
+        return Stream.of(
+                        byNearness.get(true).stream().limit(1),
+                        byNearness.get(false).stream().limit(1),
+                        byNearness.get(true).stream().skip(1),
+                        byNearness.get(false).stream().skip(1))
+                .flatMap(hosts -> hosts)
+                .map(HostReport::getRelayAddress)
+                .toList();
+    }
+
     /** Adds a report; returns false if it is not newer than the known one or is this host's own. */
     boolean add(HostReport report) {
         ReceivedReport known = byHost.get(report.getHost());
--- a/router/src/main/java/io/heatherloft/router/request/CrashGuard.java
+++ b/router/src/main/java/io/heatherloft/router/request/CrashGuard.java
@@ -71,8 +71,11 @@
     }
 
     void onNotSent(BackendServerState server, ExchangeFailure failure) {
-        suspects.recordServerDown(server.incarnation(), loop.nowMillis());
-        if (failure.refused()) {
+        // A server that only this host cannot reach has not crashed.
+        if (failure.confirmed()) {
+            suspects.recordServerDown(server.incarnation(), loop.nowMillis());
+        }
+        if (failure.confirmed() && failure.refused()) {
             crashingPrompts.onCrash(server);
         }
     }
--- a/router/src/test/java/io/heatherloft/router/peers/HostReportsTest.java
+++ b/router/src/test/java/io/heatherloft/router/peers/HostReportsTest.java
@@ -6,8 +6,10 @@
 import io.heatherloft.peer.generated.HostReport;
 import io.heatherloft.ports.loop.Loop;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
@@ -79,4 +81,62 @@
             assertThat(reports.outstandingByBackend()).isEmpty();
         }
     }
+
+    @Nested
+    final class RelayAddresses {
+        private final HostReports reports = new HostReports(new ManualClockLoop(), "self");
+
+        private void add(int index, String zone, boolean cutOff) {
+            reports.add(HostReport.newBuilder()
+                    .setHost("h" + index)
+                    .setSequence(1)
+                    .setAvailabilityZone(zone)
+                    .setRelayAddress("r" + index)
+                    .setCutOff(cutOff)
+                    .build());
+        }
+
+        @Test
+        void begin_with_a_host_in_the_same_zone_and_one_in_another() {
+            reports.offerRelay("a", "self", () -> false);
+            IntStream.range(0, 40).forEach(index -> add(index, index < 20 ? "a" : "b", false));
+            List<String> addresses = reports.relayAddresses(new Random(1));
+            assertThat(addresses).hasSize(40);
+            assertThat(Integer.parseInt(addresses.get(0).substring(1))).isLessThan(20);
+            assertThat(Integer.parseInt(addresses.get(1).substring(1))).isAtLeast(20);
+        }
+
+        // Incident RECOVER: a zone that is cut off must not ask its own hosts, nor all of them the same host of another
+        // zone.
+        @Test
+        void of_a_zone_that_is_cut_off_are_spread_over_the_other_zones() {
+            for (int hosts : List.of(6, 58, 360)) {
+                HostReports known = new HostReports(new ManualClockLoop(), "self");
+                known.offerRelay("z0", "self", () -> true);
+                IntStream.range(0, hosts)
+                        .forEach(index -> known.add(HostReport.newBuilder()
+                                .setHost("h" + index)
+                                .setSequence(1)
+                                .setAvailabilityZone("z" + index % 4)
+                                .setRelayAddress("r" + index)
+                                .setCutOff(index % 4 == 0)
+                                .build()));
+                Random random = new Random(hosts);
+                Map<String, Integer> asked = new HashMap<>();
+                int connections = 20 * hosts;
+                IntStream.range(0, connections)
+                        .forEach(_index ->
+                                asked.merge(known.relayAddresses(random).get(0), 1, Integer::sum));
+                int others = (int) IntStream.range(0, hosts)
+                        .filter(index -> index % 4 != 0)
+                        .count();
+                assertThat(asked).hasSize(others);
+                assertThat(asked.values().stream()
+                                .mapToInt(Integer::intValue)
+                                .max()
+                                .orElse(0))
+                        .isAtMost(3 * connections / others);
+            }
+        }
+    }
 }
