Tests of entry hosts take their ports from below those of connections

HostWithoutServersTest failed once with 'Address already in use' when a host bound its peer address: the port was found free with port 0, closed, and taken by a connection or listener of a host that was running before it was bound again. Ports are now taken from 20,000 to 32,000, which Linux does not assign by itself (32,768 to 60,999 here).

--- a/entry/src/test/java/io/heatherloft/entry/EntryHostHarness.java
+++ b/entry/src/test/java/io/heatherloft/entry/EntryHostHarness.java
@@ -34,6 +34,11 @@
     static final String API_KEY = "k1";
     private static final long WAIT_LIMIT_MILLIS = 20_000L;
     private static final long POLL_MILLIS = 10L;
+    // Below the ports that Linux assigns to connections.
+    private static final int FIRST_TEST_PORT = 20_000;
+    private static final int LAST_TEST_PORT = 32_000;
+    private static final AtomicInteger NEXT_PORT =
+            new AtomicInteger((int) ProcessHandle.current().pid() * 97);
     private static final long BACKEND_RESTART_MILLIS = 200L;
 
     final StoreStandIn store;
@@ -208,12 +213,18 @@
         }
     }
 
+    /** Returns a free port that the operating system does not assign to connections, so that it stays free. */
     static int freePort() {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            return socket.getLocalPort();
-        } catch (IOException exception) {
-            throw new IllegalStateException(exception);
+        int range = LAST_TEST_PORT - FIRST_TEST_PORT;
+        for (int attempt = 0; attempt < range; attempt++) {
+            int port = FIRST_TEST_PORT + Math.floorMod(NEXT_PORT.getAndIncrement(), range);
+            try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
+                return socket.getLocalPort();
+            } catch (IOException _inUse) {
+                // The next port may be free.
+            }
         }
+        throw new IllegalStateException("no free port from " + FIRST_TEST_PORT + " to " + LAST_TEST_PORT);
     }
 
     @Override
