One method opens direct connections to servers, for requests and for probes

Opening a connection stood twice in BackendConnectionPool, each with its own bootstrap, listener and record of reachability; it is now openDirectly, and the two callers say what happens to the channel. Behaviour as before, but that a probe's channel is closed just after the success is recorded instead of just before.

--- a/router/src/main/java/io/heatherloft/router/backend/BackendConnectionPool.java
+++ b/router/src/main/java/io/heatherloft/router/backend/BackendConnectionPool.java
@@ -151,14 +151,23 @@
     }
 
     private void tryDirectly(BackendEndpoint endpoint, Consumer<Throwable> onFailure) {
+        openDirectly(
+                endpoint,
+                channel -> {
+                    ChannelFuture _closed = channel.close();
+                },
+                onFailure);
+    }
+
+    private void openDirectly(BackendEndpoint endpoint, Consumer<Channel> onConnected, Consumer<Throwable> onFailure) {
         ChannelFuture connecting = bootstrap
                 .clone()
                 .handler(new ChannelInboundHandlerAdapter())
                 .connect(addresses.apply(endpoint.address()));
         connecting.addListener(_done -> {
             if (connecting.isSuccess()) {
-                ChannelFuture _closed = connecting.channel().close();
                 onDirectConnection(endpoint);
+                onConnected.accept(connecting.channel());
             } else {
                 onFailure.accept(connecting.cause());
             }
@@ -323,18 +332,7 @@
 
     // The connection joins the pipeline once the channel is connected, because it can join only one.
     private void connectDirectly(BackendConnection connection, Consumer<Throwable> onFailure) {
-        ChannelFuture connecting = bootstrap
-                .clone()
-                .handler(new ChannelInboundHandlerAdapter())
-                .connect(addresses.apply(connection.endpoint().address()));
-        connecting.addListener(_done -> {
-            if (connecting.isSuccess()) {
-                onDirectConnection(connection.endpoint());
-                join(connection, connecting.channel());
-            } else {
-                onFailure.accept(connecting.cause());
-            }
-        });
+        openDirectly(connection.endpoint(), channel -> join(connection, channel), onFailure);
     }
 
     private static void join(BackendConnection connection, Channel channel) {
