--- a/entry/src/test/java/io/heatherloft/entry/RestoredStoreTest.java
+++ b/entry/src/test/java/io/heatherloft/entry/RestoredStoreTest.java
@@ -14,6 +14,7 @@
 /** A store that is restored from a copy that is older than what it had acknowledged. */
 final class RestoredStoreTest {
     private final EntryHostHarness harness = new EntryHostHarness();
+    private StoreStandIn.Copy copy;
 
     @AfterEach
     void close() {
@@ -28,6 +29,16 @@
         harness.onLoop(() -> harness.store.putConfiguration(PlatformFixtures.configuration(version, key)));
     }
 
+    /** Starts a host whose configuration in force, of the key k2, is missing from the copy. */
+    private EntryHost startHostWithUncopiedConfiguration() {
+        harness.startBackend("desk", "d-1", "v1");
+        EntryHost host = startSingleHost();
+        copy = harness.onLoop(harness.store::copy);
+        putConfiguration(2, "k2");
+        awaitStatus(host, "k2", 200);
+        return host;
+    }
+
     private String lookUp(EntryHost host, String key) {
         String request = PlatformFixtures.plainRequest("GET", "/lookups/x", "r1", key);
         return EntryHostHarness.exchange(host.callerPort(), EntryHostHarness.withConnectionClose(request));
@@ -51,11 +62,7 @@
         // Incident CONFIG: a host ignored a configuration whose revision it knew from before the store was restored.
         @Test
         void is_in_force_although_its_revision_was_given_out_before() {
-            harness.startBackend("desk", "d-1", "v1");
-            EntryHost host = startSingleHost();
-            StoreStandIn.Copy copy = harness.onLoop(harness.store::copy);
-            putConfiguration(2, "k2");
-            awaitStatus(host, "k2", 200);
+            EntryHost host = startHostWithUncopiedConfiguration();
             harness.onLoop(() -> harness.store.restore(copy));
             putConfiguration(3, "k3");
             awaitStatus(host, "k3", 200);
@@ -64,11 +71,7 @@
         // The old position of the watch is one that the store has again, so the store does not reject it.
         @Test
         void is_in_force_although_the_new_revisions_have_passed_the_old_ones() {
-            harness.startBackend("desk", "d-1", "v1");
-            EntryHost host = startSingleHost();
-            StoreStandIn.Copy copy = harness.onLoop(harness.store::copy);
-            putConfiguration(2, "k2");
-            awaitStatus(host, "k2", 200);
+            EntryHost host = startHostWithUncopiedConfiguration();
             harness.onLoop(() -> {
                 harness.store.setFault(StoreStandIn.Fault.REFUSING);
                 harness.store.restore(copy);
@@ -81,11 +84,7 @@
 
         @Test
         void stays_in_force_until_its_operator_writes_it_again() {
-            harness.startBackend("desk", "d-1", "v1");
-            EntryHost host = startSingleHost();
-            StoreStandIn.Copy copy = harness.onLoop(harness.store::copy);
-            putConfiguration(2, "k2");
-            awaitStatus(host, "k2", 200);
+            EntryHost host = startHostWithUncopiedConfiguration();
             harness.onLoop(() -> harness.store.restore(copy));
             awaitEra(host, 2);
             assertThat(lookUp(host, "k2")).startsWith("HTTP/1.1 200");
@@ -97,7 +96,7 @@
             harness.startBackend("desk", "d-1", "v1");
             int peerPort = EntryHostHarness.freePort();
             EntryHost first = harness.startReadyHost("entry-1", peerPort, List.of());
-            StoreStandIn.Copy copy = harness.onLoop(harness.store::copy);
+            copy = harness.onLoop(harness.store::copy);
             putConfiguration(2, "k2");
             awaitStatus(first, "k2", 200);
             harness.onLoop(() -> harness.store.restore(copy));
@@ -110,7 +109,7 @@
         void that_cannot_be_read_is_not_taken_from_the_copy() {
             harness.startBackend("desk", "d-1", "v1");
             harness.onLoop(() -> harness.store.putConfiguration("[]"));
-            StoreStandIn.Copy copy = harness.onLoop(harness.store::copy);
+            copy = harness.onLoop(harness.store::copy);
             putConfiguration(2, "k2");
             EntryHost host = startSingleHost();
             awaitStatus(host, "k2", 200);
@@ -127,7 +126,7 @@
             RunnerStandIn leaving = harness.startBackend("desk", "d-1", "v1");
             harness.startBackend("desk", "d-2", "v1");
             EntryHost host = startSingleHost();
-            StoreStandIn.Copy copy = harness.onLoop(harness.store::copy);
+            copy = harness.onLoop(harness.store::copy);
             harness.onLoop(() -> harness.store.putBackend(
                     "d-1", PlatformFixtures.backendEntry("desk", harness.backendPort("d-1"), "v1", "draining")));
             putConfiguration(2, "k2");
@@ -143,7 +142,7 @@
         @Test
         void that_joined_since_the_copy_stays_in_use_until_it_registers_again() {
             EntryHost host = startSingleHost();
-            StoreStandIn.Copy copy = harness.onLoop(harness.store::copy);
+            copy = harness.onLoop(harness.store::copy);
             harness.startBackend("desk", "d-1", "v1");
             awaitStatus(host, EntryHostHarness.API_KEY, 200);
             harness.onLoop(() -> harness.store.restore(copy));
@@ -167,7 +166,7 @@
             EntryHost host = startSingleHost();
             harness.onLoop(() -> harness.store.put("op/rollout/desk", "{\"target\":\"v1\",\"duration_s\":1}"));
             harness.await(() -> state("desk").contains("running"));
-            StoreStandIn.Copy copy = harness.onLoop(harness.store::copy);
+            copy = harness.onLoop(harness.store::copy);
             harness.await(() -> state("desk").contains("completed"));
             harness.onLoop(() -> harness.store.restore(copy));
             assertThat(state("desk")).contains("running");
--- a/router/src/test/java/io/heatherloft/router/peers/CrashingPromptFleetTest.java
+++ b/router/src/test/java/io/heatherloft/router/peers/CrashingPromptFleetTest.java
@@ -47,7 +47,7 @@
         private long learnedByMillis = Long.MAX_VALUE;
 
         Fleet(int hostCount, int serverCount, long seed) {
-            this.gossip = new GossipFleet(seed, 1_000, new OrderFormats("", 0));
+            this.gossip = new GossipFleet(seed, 1_000, new TextFormats(0));
             this.loop = gossip.loop;
             this.random = gossip.random;
             IntStream.range(0, hostCount).forEach(index -> hosts.add(new Host("h" + index)));
--- a/router/src/test/java/io/heatherloft/router/peers/RestoredFleet.java
+++ b/router/src/test/java/io/heatherloft/router/peers/RestoredFleet.java
@@ -28,6 +28,8 @@
     /** Key of the record of a prompt part that crashes servers. */
     static final String CRASH_RECORD_KEY = "hosts/crashes/" + CrashRecord.nameOf(Set.of(0xabL));
 
+    static final long ROLLOUT_MILLIS = 12_000L;
+
     private static final String SERVICE = TextFormats.SERVICE;
     private static final String CRASHES = IntStream.range(1, 7)
             .mapToObj(server -> "ab " + server + " " + server)
@@ -62,7 +64,7 @@
     private int started;
 
     RestoredFleet(int hostCount, int serverCount, long seed) {
-        this.gossip = new GossipFleet(seed, 5_000, new TextFormats());
+        this.gossip = new GossipFleet(seed, 5_000, new TextFormats(ROLLOUT_MILLIS));
         this.loop = gossip.loop;
         this.random = gossip.random;
         this.store = new VirtualStore(loop, random);
@@ -284,7 +286,7 @@
 
         Host(String name) {
             this.member = gossip.new Member(name, client);
-            TextFormats formats = new TextFormats();
+            TextFormats formats = new TextFormats(ROLLOUT_MILLIS);
             this.controller = new RolloutController(
                     loop,
                     client,
--- a/router/src/test/java/io/heatherloft/router/peers/RestoredStoreFleetTest.java
+++ b/router/src/test/java/io/heatherloft/router/peers/RestoredStoreFleetTest.java
@@ -113,7 +113,7 @@
             fleet.loop.schedule(
                     Math.max(0, 300 + restoredAfterMillis - copyAgeMillis), () -> copy[0] = fleet.store.copy());
             fleet.loop.schedule(300 + restoredAfterMillis, () -> fleet.restore(copy[0], 1_000));
-            fleet.loop.runFor(TextFormats.ROLLOUT_MILLIS + 8_000);
+            fleet.loop.runFor(RestoredFleet.ROLLOUT_MILLIS + 8_000);
             return fleet;
         }
 
--- a/router/src/test/java/io/heatherloft/router/peers/RolloutSessionsTest.java
+++ b/router/src/test/java/io/heatherloft/router/peers/RolloutSessionsTest.java
@@ -43,7 +43,7 @@
         private int requests;
 
         Fleet(int hostCount, long seed) {
-            this.gossip = new GossipFleet(seed, SESSION_IDLE_MILLIS, new OrderFormats(TARGET, ROLLOUT_MILLIS));
+            this.gossip = new GossipFleet(seed, SESSION_IDLE_MILLIS, new TextFormats(ROLLOUT_MILLIS));
             this.loop = gossip.loop;
             this.random = gossip.random;
             IntStream.range(0, hostCount).forEach(index -> hosts.add(new Host("h" + index)));
@@ -111,7 +111,7 @@
                         new FleetView.PrefixUpdate(
                                 "op/",
                                 List.of(PrefixReplica.Change.put(
-                                        "op/rollout/" + SERVICE, ORDER_REVISION, Bytes.ofText("order"))),
+                                        "op/rollout/" + SERVICE, ORDER_REVISION, Bytes.ofText(TARGET))),
                                 List.of(),
                                 ORDER_REVISION,
                                 false),
--- a/router/src/test/java/io/heatherloft/router/peers/ServerLimitFleetTest.java
+++ b/router/src/test/java/io/heatherloft/router/peers/ServerLimitFleetTest.java
@@ -44,7 +44,7 @@
         private int refused;
 
         Fleet(int hostCount, int servers, long seed) {
-            this.gossip = new GossipFleet(seed, 1_000, new OrderFormats("", 0));
+            this.gossip = new GossipFleet(seed, 1_000, new TextFormats(0));
             this.loop = gossip.loop;
             this.random = gossip.random;
             this.servers = servers;
--- a/router/src/test/java/io/heatherloft/router/peers/TextFormats.java
+++ b/router/src/test/java/io/heatherloft/router/peers/TextFormats.java
@@ -11,10 +11,20 @@
 import java.util.List;
 import java.util.Map;
 
-/** Formats of stored values as words that are separated by spaces. Stateless. */
+/** Formats of stored values as words that are separated by spaces. Immutable. */
 final class TextFormats implements StoredFormats {
     static final String SERVICE = "llm";
-    static final long ROLLOUT_MILLIS = 12_000L;
+
+    private final long rolloutMillis;
+
+    /**
+     * Creates the formats.
+     *
+     * @param rolloutMillis duration of every rollout, whose order holds the target only
+     */
+    TextFormats(long rolloutMillis) {
+        this.rolloutMillis = rolloutMillis;
+    }
 
     static String configuration(long version) {
         return String.valueOf(version);
@@ -94,7 +104,7 @@
 
     @Override
     public RolloutOrder readRolloutOrder(String service, Bytes value) {
-        return new RolloutOrder(service, value.toText(), ROLLOUT_MILLIS);
+        return new RolloutOrder(service, value.toText(), rolloutMillis);
     }
 
     @Override
