A pool that knows no other hosts asks none, instead of being told apart from one that does

BackendConnectionPool held an optional RelayClient and branched on it in four places. A client without hosts gives the same answers: nobody can connect, and the failure counts as confirmed. So the pool always has one. Beside it: EntryHost keeps the pool and the reports instead of a function over both; RestorePolicy lists the ages of an era at which something ceases to hold, which FleetView repeated one by one, with that for orders left to coincide with another. Behaviour and log lines as before.

--- a/entry/src/main/java/io/heatherloft/entry/EntryHost.java
+++ b/entry/src/main/java/io/heatherloft/entry/EntryHost.java
@@ -40,7 +40,6 @@
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
-import java.util.function.Consumer;
 import java.util.function.Function;
 
 /**
@@ -81,8 +80,9 @@
     private final PeerTraffic peerTraffic = new PeerTraffic();
     private final NettyPeerNetwork peerNetwork;
     private final FleetGossip gossip;
+    private final HostReports reports;
+    private final BackendConnectionPool backendPool;
     private final RelayServer relayServer;
-    private final Consumer<String> onRelayListening;
     private boolean stopping;
 
     private EntryHost(
@@ -103,7 +103,7 @@
         BackendRegistry registry = new BackendRegistry(loop, log);
         VersionPolicies versions = new VersionPolicies(loop, new SessionVersions(settings.sessionIdleTimeoutMillis()));
         this.fleetView = new FleetView(loop, store, formats, registry, versions, log, metrics, new Random());
-        HostReports reports = new HostReports(loop, settings.hostName());
+        this.reports = new HostReports(loop, settings.hostName());
         this.rollouts = new RolloutController(
                 loop, store, formats, versions, log, fleetView::storeEra, reports::hostCount, new Random());
         this.crashRecorder = new CrashRecorder(
@@ -121,8 +121,7 @@
                 settings.hostName(),
                 settings.peerAddress().orElse(""),
                 settings.seedAddresses());
-        BackendConnectionPool backendPool =
-                new BackendConnectionPool(group, loop, ConnectionPoolSettings.DEFAULT, serverAddresses);
+        this.backendPool = new BackendConnectionPool(group, loop, ConnectionPoolSettings.DEFAULT, serverAddresses);
         this.engine = new RequestEngine(
                 loop,
                 fleetView,
@@ -139,8 +138,6 @@
         this.relayServer = backendPool.newRelayServer(endpoint -> registry.find(endpoint.id())
                 .filter(server -> server.endpoint().equals(endpoint))
                 .isPresent());
-        this.onRelayListening =
-                address -> reports.offerRelay(settings.availabilityZone(), address, backendPool::isCutOff);
         metrics.gauge("backend_connections_relayed", () -> backendPool::relayed);
         metrics.gauge("backend_links_lost", () -> () -> backendPool.isCutOff() ? 1 : 0);
         metrics.gauge("backend_connections_opened", () -> backendPool::opened);
@@ -219,7 +216,8 @@
             String relayAddress = host.relayServer
                     .listen(settings.ipAddress(), settings.relayPort())
                     .join();
-            host.loop.execute(() -> host.onRelayListening.accept(relayAddress));
+            host.loop.execute(() ->
+                    host.reports.offerRelay(settings.availabilityZone(), relayAddress, host.backendPool::isCutOff));
             settings.peerAddress()
                     .ifPresent(address -> new NettyPeerServer(
                             host.group, SocketAddresses.parse(address), host.loop, host.peerTraffic, host.gossip));
--- a/router/src/main/java/io/heatherloft/router/backend/BackendConnectionPool.java
+++ b/router/src/main/java/io/heatherloft/router/backend/BackendConnectionPool.java
@@ -61,7 +61,7 @@
     private final ServerReachability reachability = new ServerReachability();
     private final Map<String, BackendEndpoint> probedServers = new HashMap<>();
     private final Set<BackendConnection> waiting = Collections.newSetFromMap(new IdentityHashMap<>());
-    private Optional<RelayClient> relay = Optional.empty();
+    private RelayClient relay;
     private Consumer<Boolean> linkListener = _lost -> {};
     private long lastReceivedMillis;
     private long nextQuietProbeMillis;
@@ -97,6 +97,7 @@
                 .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPIDLE), KEEPALIVE_SECONDS)
                 .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPINTERVAL), KEEPALIVE_SECONDS)
                 .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPCOUNT), KEEPALIVE_PROBES);
+        this.relay = new RelayClient(loop, bootstrap, List::of);
     }
 
     /**
@@ -107,7 +108,7 @@
      *     again
      */
     public void useOtherHosts(Supplier<List<String>> hosts, Consumer<Boolean> listener) {
-        relay = Optional.of(new RelayClient(loop, bootstrap, hosts));
+        relay = new RelayClient(loop, bootstrap, hosts);
         linkListener = listener;
         Loop.Cancellation _running = loop.repeat(PROBE_MILLIS, this::probe);
     }
@@ -138,16 +139,13 @@
      * other hosts too.
      */
     public void checkUp(BackendEndpoint endpoint, Runnable onRefused) {
-        tryDirectly(endpoint, failure -> {
-            if (relay.isEmpty() && isRefusal(failure)) {
-                onRefused.run();
-            }
-            tryThroughHost(endpoint, outcome -> {
-                if (outcome.confirmed() && isRefusal(failure)) {
-                    onRefused.run();
-                }
-            });
-        });
+        tryDirectly(
+                endpoint,
+                failure -> tryThroughHost(endpoint, outcome -> {
+                    if (outcome.confirmed() && isRefusal(failure)) {
+                        onRefused.run();
+                    }
+                }));
     }
 
     private void tryDirectly(BackendEndpoint endpoint, Consumer<Throwable> onFailure) {
@@ -175,14 +173,14 @@
     }
 
     private void tryThroughHost(BackendEndpoint endpoint, Consumer<RelayClient.Outcome> onFailure) {
-        relay.ifPresent(client -> client.connect(endpoint, outcome -> {
+        relay.connect(endpoint, outcome -> {
             if (outcome.channel().isPresent()) {
                 ChannelFuture _closed = outcome.channel().get().close();
                 onReachableByOthers(endpoint);
             } else {
                 onFailure.accept(outcome);
             }
-        }));
+        });
     }
 
     private void probe() {
@@ -314,16 +312,16 @@
     private BackendExchange connect(BackendEndpoint endpoint, FullHttpRequest request, ResponseListener listener) {
         BackendConnection connection = new BackendConnection(this, loop, settings, endpoint);
         BackendExchange exchange = connection.startExchange(request, listener);
-        if (relay.isPresent() && reachability.isUnreachable(endpoint.id(), loop.nowMillis())) {
-            relay.get()
-                    .connect(
-                            endpoint,
-                            outcome -> onRelayOutcome(connection, outcome, () -> {
-                                connectDirectly(
-                                        connection,
-                                        cause -> connection.onConnectFailed(
-                                                cause.getMessage() + "; " + outcome.hosts(), isRefusal(cause), false));
-                            }));
+        if (reachability.isUnreachable(endpoint.id(), loop.nowMillis())) {
+            relay.connect(
+                    endpoint,
+                    outcome -> onRelayOutcome(
+                            connection,
+                            outcome,
+                            () -> connectDirectly(
+                                    connection,
+                                    cause -> connection.onConnectFailed(
+                                            reasonOf(cause, outcome), isRefusal(cause), false))));
         } else {
             connectDirectly(connection, cause -> connectThroughHost(connection, cause));
         }
@@ -341,11 +339,10 @@
     }
 
     private void connectThroughHost(BackendConnection connection, Throwable directFailure) {
-        if (relay.isEmpty() || connection.isClosed()) {
-            connection.onConnectFailed(directFailure.getMessage(), isRefusal(directFailure), true);
+        if (connection.isClosed()) {
             return;
         }
-        relay.get().connect(connection.endpoint(), outcome -> {
+        relay.connect(connection.endpoint(), outcome -> {
             if (outcome.channel().isPresent()) {
                 onReachableByOthers(connection.endpoint());
             }
@@ -353,12 +350,18 @@
                     connection,
                     outcome,
                     () -> connection.onConnectFailed(
-                            directFailure.getMessage() + "; " + outcome.hosts(),
+                            reasonOf(directFailure, outcome),
                             isRefusal(directFailure) && outcome.confirmed(),
                             outcome.confirmed()));
         });
     }
 
+    private static String reasonOf(Throwable directFailure, RelayClient.Outcome outcome) {
+        return outcome.hosts().isEmpty()
+                ? directFailure.getMessage()
+                : directFailure.getMessage() + "; " + outcome.hosts();
+    }
+
     private void onRelayOutcome(BackendConnection connection, RelayClient.Outcome outcome, Runnable onFailure) {
         outcome.channel()
                 .ifPresentOrElse(
--- a/router/src/main/java/io/heatherloft/router/backend/RelayClient.java
+++ b/router/src/main/java/io/heatherloft/router/backend/RelayClient.java
@@ -56,7 +56,7 @@
      * @param channel the connection, if there is one; the bytes that it reads are the server's
      * @param refused true if a host found that the server's address refuses connections
      * @param confirmed true if as many hosts as could be asked found that they cannot connect either, or there is no other
-     * @param hosts number of hosts that were known, asked and could not connect, for the log
+     * @param hosts number of hosts that were known, asked and could not connect, for the log; empty if there is no other
      */
     record Outcome(Optional<Channel> channel, boolean refused, boolean confirmed, String hosts) {}
 
@@ -87,7 +87,10 @@
                         Optional.empty(),
                         refused,
                         candidates.isEmpty() || unreachable >= Math.min(CONFIRMATIONS, candidates.size()),
-                        "of " + candidates.size() + " hosts " + asked + " asked, " + unreachable + " in vain"));
+                        candidates.isEmpty()
+                                ? ""
+                                : "of " + candidates.size() + " hosts " + asked + " asked, " + unreachable
+                                        + " in vain"));
                 return;
             }
             String host = candidates.get(asked);
--- a/router/src/main/java/io/heatherloft/router/fleet/FleetView.java
+++ b/router/src/main/java/io/heatherloft/router/fleet/FleetView.java
@@ -390,9 +390,8 @@
             replica.beginEra(era);
             eraBeganMillis = loop.nowMillis();
             if (restored) {
-                loop.schedule(RestorePolicy.EXCHANGE_MILLIS + TIMER_MARGIN_MILLIS, this::settleEarlierChanges);
-                loop.schedule(RestorePolicy.REREGISTRATION_MILLIS + TIMER_MARGIN_MILLIS, this::settleEarlierChanges);
-                loop.schedule(RestorePolicy.EXPIRY_MILLIS + TIMER_MARGIN_MILLIS, this::settleEarlierChanges);
+                RestorePolicy.SETTLING_MILLIS.forEach(
+                        millis -> loop.schedule(millis + TIMER_MARGIN_MILLIS, this::settleEarlierChanges));
             }
             return restored;
         }
--- a/router/src/main/java/io/heatherloft/router/fleet/RestorePolicy.java
+++ b/router/src/main/java/io/heatherloft/router/fleet/RestorePolicy.java
@@ -2,6 +2,7 @@
 
 import io.heatherloft.domain.route.BackendRegistration;
 import io.heatherloft.router.fleet.PrefixReplica.Change;
+import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
 
@@ -23,6 +24,10 @@
     /** The entry of a backend server that no longer runs has expired again by then, in milliseconds. */
     static final long EXPIRY_MILLIS = 8_000L;
 
+    /** Ages of an era, in milliseconds, at which earlier changes cease to hold. */
+    static final List<Long> SETTLING_MILLIS =
+            List.of(EXCHANGE_MILLIS, REREGISTRATION_MILLIS, REORDER_MILLIS, EXPIRY_MILLIS);
+
     private final StoredFormats formats;
 
     RestorePolicy(StoredFormats formats) {
