--- a/entry/src/test/java/io/heatherloft/entry/CrashingPromptTest.java
+++ b/entry/src/test/java/io/heatherloft/entry/CrashingPromptTest.java
@@ -36,7 +36,8 @@
     private void startFleet() {
         int seedPort = EntryHostHarness.freePort();
         IntStream.range(0, SERVERS)
-                .forEach(index -> servers.add(harness.startBackendCrashingOn(CRASHING_PART, "llm", "llm-" + index)));
+                .forEach(index -> servers.add(harness.startBackendCrashingOn(
+                        request -> RunnerStandIn.isPromptPart(CRASHING_PART, request), "llm", "llm-" + index)));
         IntStream.range(0, HOSTS)
                 .forEach(index -> hosts.add(harness.startReadyHost(
                         "h-" + index,
--- a/entry/src/test/java/io/heatherloft/entry/EntryHostHarness.java
+++ b/entry/src/test/java/io/heatherloft/entry/EntryHostHarness.java
@@ -2,6 +2,7 @@
 
 import io.heatherloft.platform.PlatformSettings;
 import io.heatherloft.ports.http.SocketAddresses;
+import io.heatherloft.router.http.CallerRequest;
 import io.heatherloft.router.http.CallerServer;
 import io.heatherloft.standins.platform.PlatformFixtures;
 import io.heatherloft.standins.platform.RunnerStandIn;
@@ -23,6 +24,7 @@
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.BooleanSupplier;
 import java.util.function.Function;
+import java.util.function.Predicate;
 import java.util.function.Supplier;
 
 /**
@@ -70,10 +72,10 @@
     }
 
     /**
-     * Starts a backend server that crashes when it begins to respond to a request with a prompt part, and that starts
-     * again under a new ID, at its old address, shortly after each crash.
+     * Starts a backend server that crashes while it runs certain requests, and that starts again under a new ID, at its old
+     * address, shortly after each crash.
      */
-    RunnerStandIn startBackendCrashingOn(String promptPart, String service, String id) {
+    RunnerStandIn startBackendCrashingOn(Predicate<CallerRequest> crashing, String service, String id) {
         RunnerStandIn backend = new RunnerStandIn(loop.loop(), id, 8);
         AtomicReference<CallerServer> server = new AtomicReference<>(loop.newServer(backend));
         loop.listen(server.get(), 0).join();
@@ -81,7 +83,7 @@
         AtomicInteger crashes = new AtomicInteger();
         onLoop(() -> {
             store.put("servers/" + id, PlatformFixtures.backendEntry(service, port, "v1"));
-            backend.crashOnPromptPart(promptPart, () -> {
+            backend.crashOn(crashing, () -> {
                 server.get().stopAccepting();
                 server.get().closeIdleConnections();
                 int crash = crashes.incrementAndGet();
--- a/soak/src/main/java/io/heatherloft/soak/SoakFleet.java
+++ b/soak/src/main/java/io/heatherloft/soak/SoakFleet.java
@@ -63,7 +63,7 @@
 
     private void startBackend(String id) {
         RunnerStandIn backend = new RunnerStandIn(loop.loop(), id, EVENTS_PER_STREAM);
-        backend.crashOnPromptPart(CRASHING_PART, () -> restartSoon(id));
+        backend.crashOn(request -> RunnerStandIn.isPromptPart(CRASHING_PART, request), () -> restartSoon(id));
         FaultProxy proxy = new FaultProxy(loop.group(), loop.loop(), loop.listen(backend, 0));
         backends.put(id, backend);
         proxies.put(id, proxy);
--- a/standins/src/main/java/io/heatherloft/standins/platform/RunnerStandIn.java
+++ b/standins/src/main/java/io/heatherloft/standins/platform/RunnerStandIn.java
@@ -17,6 +17,7 @@
 import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.Set;
+import java.util.function.Predicate;
 
 /**
  * Stand-in for a backend server of the platform.
@@ -43,7 +44,7 @@
     private OptionalDouble requestLimit = OptionalDouble.empty();
     private int callerDisconnects;
     private final Set<CallerExchange> openExchanges = new HashSet<>();
-    private Optional<String> crashingPart = Optional.empty();
+    private Predicate<CallerRequest> crashing = _request -> false;
     private Runnable crashListener = () -> {};
     private boolean crashed;
 
@@ -108,13 +109,13 @@
     }
 
     /**
-     * Makes the server crash when it has begun to respond to a request whose prompt contains a part, other than as its
-     * last one.
+     * Makes the server crash while it runs certain requests: when it has begun to stream the response, or before it has sent
+     * a byte of another one. A run for which another behaviour is queued ends as queued.
      *
      * @param listener called when the server crashes, to close its listening socket
      */
-    public void crashOnPromptPart(String part, Runnable listener) {
-        crashingPart = Optional.of(part);
+    public void crashOn(Predicate<CallerRequest> newCrashing, Runnable listener) {
+        crashing = newCrashing;
         crashListener = listener;
     }
 
@@ -214,6 +215,8 @@
                 if (request.headers().contains("X-Token-Count")) {
                     headers.set("X-Hint-Confidence", confidence);
                     stream(request, exchange, headers, act == Act.BREAK_STREAM);
+                } else if (crashing.test(request)) {
+                    loop.schedule(CRASH_DELAY_MILLIS, this::crash);
                 } else {
                     send(exchange, OK, headers, "answer of " + id);
                 }
@@ -224,7 +227,7 @@
     private void stream(CallerRequest request, CallerExchange exchange, HttpHeaders headers, boolean abort) {
         headers.set("Content-Type", "text/event-stream");
         exchange.startStream(OK, headers);
-        if (hasCrashingPart(request)) {
+        if (crashing.test(request)) {
             exchange.sendChunk(Unpooled.copiedBuffer("id: 1\ndata: token 1\n\nid: 2\nda", StandardCharsets.UTF_8));
             loop.schedule(CRASH_DELAY_MILLIS, this::crash);
             return;
@@ -244,11 +247,8 @@
         }
     }
 
-    private boolean hasCrashingPart(CallerRequest request) {
-        return crashingPart.filter(part -> isPromptPart(part, request)).isPresent();
-    }
-
-    private static boolean isPromptPart(String id, CallerRequest request) {
+    /** Returns true if the prompt of a request contains a part, other than as its last one. */
+    public static boolean isPromptPart(String id, CallerRequest request) {
         String[] parts = request.headers().get("X-Prompt-Prefix", "").split(",", -1);
         return Arrays.stream(parts).limit(parts.length - 1L).anyMatch(part -> part.startsWith(id + ':'));
     }
