--- a/standins/src/main/java/io/heatherloft/standins/platform/RunnerStandIn.java
+++ b/standins/src/main/java/io/heatherloft/standins/platform/RunnerStandIn.java
@@ -42,6 +42,8 @@
     private final List<ExecutedRequest> executedRequests = new ArrayList<>();
     private int confidence = 90;
     private OptionalDouble requestLimit = OptionalDouble.empty();
+    private boolean leaving;
+    private Optional<String> rest = Optional.empty();
     private int callerDisconnects;
     private final Set<CallerExchange> openExchanges = new HashSet<>();
     private Predicate<CallerRequest> crashing = _request -> false;
@@ -102,6 +104,20 @@
         requestLimit = requestsPerSecond;
     }
 
+    /** Makes the server say in all its responses that it leaves, or no longer. */
+    public void setLeaving(boolean nowLeaving) {
+        leaving = nowLeaving;
+    }
+
+    /**
+     * Makes the server reject all requests and ask for rest.
+     *
+     * @param retryAfter value of the Retry-After header of the rejections; empty to accept requests again
+     */
+    public void setRest(Optional<String> retryAfter) {
+        rest = retryAfter;
+    }
+
     /** Changes the server's id, as a restart under a new id would; ends a crash. */
     public void restartAs(String newId) {
         id = newId;
@@ -177,7 +193,8 @@
             @Override
             public void onWritabilityChanged() {}
         });
-        Act act = queuedActs.isEmpty() ? Act.ANSWER : queuedActs.poll();
+        Act defaultAct = rest.isPresent() ? Act.REFUSE : Act.ANSWER;
+        Act act = queuedActs.isEmpty() ? defaultAct : queuedActs.poll();
         if (act != Act.REFUSE) {
             executedRequests.add(new ExecutedRequest(
                     request.headers().get(PlatformFixtures.REQUEST_ID_HEADER, ""),
@@ -198,10 +215,14 @@
                 act == Act.ANSWER_ANOTHER ? "other" : request.headers().get(PlatformFixtures.REQUEST_ID_HEADER, ""));
         headers.set("X-Runner-Id", id);
         headers.set("Keep-Alive", "timeout=5");
+        if (leaving) {
+            headers.set("Server-Leaving", "1");
+        }
         requestLimit.ifPresent(limit -> headers.set("Server-Limit", String.valueOf(limit)));
         switch (act) {
             case REFUSE -> {
                 headers.set("X-Not-Executed", "1");
+                rest.ifPresent(retryAfter -> headers.set("Retry-After", retryAfter));
                 send(exchange, UNAVAILABLE, headers, "");
             }
             case LOSE_ANSWER -> exchange.abort();
