Soak: hosts of two builds beside each other, and a server that leaves

--other-build CLASSPATH lets each host change its build from start to start, neighbours begin with different ones, so that builds are replaced both ways under faults. A calm fleet of this build sends nothing to a server that says it leaves.

--- a/soak/src/main/java/io/heatherloft/soak/HostProcess.java
+++ b/soak/src/main/java/io/heatherloft/soak/HostProcess.java
@@ -18,12 +18,19 @@
     private static final String MAIN_CLASS = "io.heatherloft.entry.EntryMain";
 
     private final Path directory;
+    private final List<String> builds;
     private final Path settingsFile;
     private final String callerAddress;
     private Process process;
     private int startCount;
 
-    HostProcess(Path directory, String name, String callerAddress, String settingsText) {
+    /**
+     * Creates a host that is not running.
+     *
+     * @param builds class paths of the builds that the host runs, one after the other, from start to start
+     */
+    HostProcess(Path directory, String name, String callerAddress, String settingsText, List<String> builds) {
+        this.builds = List.copyOf(builds);
         this.directory = directory;
         this.callerAddress = callerAddress;
         this.settingsFile = directory.resolve(name + ".yaml");
@@ -50,7 +57,7 @@
                             "-XX:TieredStopAtLevel=1",
                             "-Dheatherloft.listen=" + callerAddress,
                             "-cp",
-                            System.getProperty("java.class.path"),
+                            builds.get(startCount % builds.size()),
                             MAIN_CLASS,
                             settingsFile.toString()))
                     .redirectErrorStream(true)
--- a/soak/src/main/java/io/heatherloft/soak/SoakFleet.java
+++ b/soak/src/main/java/io/heatherloft/soak/SoakFleet.java
@@ -11,6 +11,7 @@
 import java.net.ServerSocket;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -49,7 +50,17 @@
             new ClosingServerStandIn(StreamBody.withEvents(EVENTS_PER_STREAM));
     private int configurationVersion = 1;
 
+    /** Starts a fleet of this build. */
     SoakFleet(Path directory, int hostCount) {
+        this(directory, hostCount, List.of(System.getProperty("java.class.path")));
+    }
+
+    /**
+     * Starts a fleet.
+     *
+     * @param builds class paths of the builds that each host runs, one after the other; neighbours begin with different ones
+     */
+    SoakFleet(Path directory, int hostCount, List<String> builds) {
         FaultProxy storeProxy = new FaultProxy(loop.group(), loop.loop(), loop.listen(store, 0));
         proxies.put("store", storeProxy);
         runOnLoop(() -> store.putConfiguration(PlatformFixtures.configuration(configurationVersion, API_KEY)));
@@ -57,7 +68,8 @@
         List<String> ips = freeLoopbackAddresses(hostCount);
         List<String> peers = ips.stream().map(SoakFleet::withFreePort).toList();
         IntStream.range(0, hostCount)
-                .forEach(index -> hosts.add(newHost(directory, ips.get(index), index, peers, storeProxy.port())));
+                .forEach(index ->
+                        hosts.add(newHost(directory, ips.get(index), index, peers, storeProxy.port(), builds)));
         hosts.forEach(HostProcess::start);
     }
 
@@ -141,11 +153,14 @@
         }
     }
 
-    private static HostProcess newHost(Path directory, String ip, int index, List<String> peers, int storePort) {
+    private static HostProcess newHost(
+            Path directory, String ip, int index, List<String> peers, int storePort, List<String> builds) {
         String callerAddress = withFreePort(ip);
         String settings = PlatformFixtures.hostSettings(
                 index, ip, callerAddress, withFreePort(ip), peers, SHUTDOWN_GRACE_SECONDS, storePort);
-        return new HostProcess(directory, "host-" + index, callerAddress, settings);
+        List<String> buildsOfHost = new ArrayList<>(builds);
+        Collections.rotate(buildsOfHost, index);
+        return new HostProcess(directory, "host-" + index, callerAddress, settings, buildsOfHost);
     }
 
     private static String withFreePort(String ip) {
--- a/soak/src/main/java/io/heatherloft/soak/SoakMain.java
+++ b/soak/src/main/java/io/heatherloft/soak/SoakMain.java
@@ -4,6 +4,8 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.Objects;
+import java.util.stream.Stream;
 import net.sourceforge.argparse4j.ArgumentParsers;
 import net.sourceforge.argparse4j.inf.ArgumentParser;
 import net.sourceforge.argparse4j.inf.ArgumentParserException;
@@ -32,6 +34,11 @@
         parser.addArgument("--seeds").type(Integer.class).setDefault(1).help("number of runs");
         parser.addArgument("--steps").type(Integer.class).setDefault(25).help("number of faults to inject in each run");
         parser.addArgument("--hosts").type(Integer.class).setDefault(3).help("number of entry hosts");
+        parser.addArgument("--other-build")
+                .metavar("CLASSPATH")
+                .help(
+                        "class path of another build of the hosts: each start of a host changes the build, neighbours begin with "
+                                + "different ones");
         parser.addArgument("--logs").setDefault("target/soak").help("directory for the host logs");
         try {
             System.exit(run(parser.parseArgs(arguments)));
@@ -41,13 +48,19 @@
         }
     }
 
+    private static List<String> builds(Namespace parsed) {
+        return Stream.of(System.getProperty("java.class.path"), parsed.getString("other_build"))
+                .filter(Objects::nonNull)
+                .toList();
+    }
+
     private static int run(Namespace parsed) throws InterruptedException, IOException {
         int failedRuns = 0;
         long first = parsed.getLong("first_seed");
         for (long seed = first; seed < first + parsed.getInt("seeds"); seed++) {
             Path directory = Path.of(parsed.getString("logs"), String.valueOf(seed));
             Files.createDirectories(directory);
-            SoakRun run = new SoakRun(seed, parsed.getInt("steps"), parsed.getInt("hosts"), directory);
+            SoakRun run = new SoakRun(seed, parsed.getInt("steps"), parsed.getInt("hosts"), directory, builds(parsed));
             List<String> findings = run.run();
             System.out.println("seed " + seed + ": " + (findings.isEmpty() ? "kept" : "BROKEN") + "; "
                     + run.trace().get(run.trace().size() - 1));
--- a/soak/src/main/java/io/heatherloft/soak/SoakRun.java
+++ b/soak/src/main/java/io/heatherloft/soak/SoakRun.java
@@ -30,11 +30,22 @@
     private final int steps;
     private final int hostCount;
     private final Path directory;
+    private final List<String> builds;
     private final Random random;
     private final InvariantChecker checker = new InvariantChecker();
     private final List<String> trace = new ArrayList<>();
 
     SoakRun(long seed, int steps, int hostCount, Path directory) {
+        this(seed, steps, hostCount, directory, List.of(System.getProperty("java.class.path")));
+    }
+
+    /**
+     * Creates a run.
+     *
+     * @param builds class paths of the builds that each host runs, one after the other
+     */
+    SoakRun(long seed, int steps, int hostCount, Path directory, List<String> builds) {
+        this.builds = builds;
         this.hostCount = hostCount;
         this.seed = seed;
         this.steps = steps;
@@ -49,7 +60,7 @@
 
     /** Runs to completion and returns the invariant violations. Host logs are written to the directory. */
     List<String> run() throws InterruptedException {
-        try (SoakFleet fleet = new SoakFleet(directory, hostCount)) {
+        try (SoakFleet fleet = new SoakFleet(directory, hostCount, builds)) {
             awaitServing(fleet, "start");
             List<String> addresses =
                     fleet.hosts().stream().map(HostProcess::callerAddress).toList();
@@ -71,6 +82,10 @@
             TroubledServerChecks checks = new TroubledServerChecks(fleet, checker, seed);
             checks.checkCrashingPrompt();
             checks.checkServerLimit();
+            // Builds before this one do not read what leaving servers say.
+            if (builds.size() == 1) {
+                checks.checkLeavingServer();
+            }
             for (HostProcess host : fleet.hosts()) {
                 int code = host.terminate();
                 if (code != 0) {
--- a/soak/src/main/java/io/heatherloft/soak/TroubledServerChecks.java
+++ b/soak/src/main/java/io/heatherloft/soak/TroubledServerChecks.java
@@ -10,7 +10,7 @@
 import java.util.function.BooleanSupplier;
 
 /**
- * Checks how a calm fleet treats a prompt part that crashes servers, and a server that names a limit.
+ * Checks how a calm fleet treats a prompt part that crashes servers, a server that names a limit, and one that leaves.
  *
  * <p>Confined to one thread.
  */
@@ -23,6 +23,7 @@
     private static final int POLL_MILLIS = 100;
     // The rule on limits: one and a half times the limit, and five requests, from 3 s after the first naming.
     private static final String LIMITED_SERVER = "desk-1";
+    private static final String LEAVING_SERVER = "desk-2";
     private static final double LIMIT_PER_SECOND = 2;
     private static final double TOLERANCE_FACTOR = 1.5;
     private static final double TOLERATED_REQUESTS = 5;
@@ -126,9 +127,9 @@
         fleet.runOnLoop(
                 () -> fleet.backends().get(LIMITED_SERVER).setRequestLimit(OptionalDouble.of(LIMIT_PER_SECOND)));
         double _learning = sendLookupsFor(STABLE_WINDOW_SECONDS);
-        int before = limitedRequests();
+        int before = received(LIMITED_SERVER);
         double seconds = sendLookupsFor(MEASURED_SECONDS);
-        int received = limitedRequests() - before;
+        int received = received(LIMITED_SERVER) - before;
         if (received > TOLERANCE_FACTOR * LIMIT_PER_SECOND * seconds + TOLERATED_REQUESTS) {
             checker.addFinding(LIMITED_SERVER + ": received " + received + " requests in " + seconds
                     + " s with a limit of " + LIMIT_PER_SECOND + " a second");
@@ -136,6 +137,18 @@
         fleet.runOnLoop(() -> fleet.backends().get(LIMITED_SERVER).setRequestLimit(OptionalDouble.empty()));
     }
 
+    /** Lets a server say that it leaves while its entry is ready, and counts the requests that it gets after some time. */
+    void checkLeavingServer() throws InterruptedException {
+        fleet.runOnLoop(() -> fleet.backends().get(LEAVING_SERVER).setLeaving(true));
+        double _learning = sendLookupsFor(STABLE_WINDOW_SECONDS);
+        int before = received(LEAVING_SERVER);
+        double _measured = sendLookupsFor(MEASURED_SECONDS);
+        if (received(LEAVING_SERVER) > before) {
+            checker.addFinding(LEAVING_SERVER + ": received " + (received(LEAVING_SERVER) - before)
+                    + " requests although it had said that it leaves");
+        }
+    }
+
     private double sendLookupsFor(double seconds) throws InterruptedException {
         long startNanos = System.nanoTime();
         double elapsed = 0;
@@ -150,10 +163,10 @@
         return elapsed;
     }
 
-    private int limitedRequests() {
+    private int received(String server) {
         int[] count = new int[1];
-        fleet.runOnLoop(() -> count[0] =
-                fleet.backends().get(LIMITED_SERVER).receivedRequests().size());
+        fleet.runOnLoop(
+                () -> count[0] = fleet.backends().get(server).receivedRequests().size());
         return count[0];
     }
 }
