--- a/soak/src/main/java/io/heatherloft/soak/SoakCaller.java
+++ b/soak/src/main/java/io/heatherloft/soak/SoakCaller.java
@@ -79,6 +79,19 @@
         return exchange(request, buildRequest(request, address));
     }
 
+    /**
+     * Sends the booking that crashes servers.
+     *
+     * @return the response; empty if no complete response arrived
+     */
+    Optional<HttpResponse<String>> sendCrashingBooking(InvariantChecker.SentRequest request, String address)
+            throws InterruptedException {
+        Map<String, String> headers = PlatformFixtures.plainHeaders(request.id(), SoakFleet.API_KEY, DEADLINE_MILLIS);
+        return responseTo(newRequestBuilder("http://" + address + SoakFleet.CRASHING_TARGET, headers)
+                .POST(HttpRequest.BodyPublishers.noBody())
+                .build());
+    }
+
     /**
      * Sends a stream request whose prompt has a part before its last one.
      *
@@ -88,11 +101,14 @@
             throws InterruptedException {
         Map<String, String> headers = PlatformFixtures.streamHeaders(
                 request.id(), SoakFleet.API_KEY, DEADLINE_MILLIS, "5c1e07a2:800," + part + ":410", request.id());
-        HttpRequest httpRequest = newRequestBuilder("http://" + address + "/plans/north", headers)
+        return responseTo(newRequestBuilder("http://" + address + "/plans/north", headers)
                 .POST(HttpRequest.BodyPublishers.ofString("hello " + request.id()))
-                .build();
+                .build());
+    }
+
+    private Optional<HttpResponse<String>> responseTo(HttpRequest request) throws InterruptedException {
         try {
-            return Optional.of(client.send(httpRequest, HttpResponse.BodyHandlers.ofString()));
+            return Optional.of(client.send(request, HttpResponse.BodyHandlers.ofString()));
         } catch (IOException _exception) {
             // The connection ends if the servers crash while they respond.
             return Optional.empty();
--- a/soak/src/main/java/io/heatherloft/soak/SoakFleet.java
+++ b/soak/src/main/java/io/heatherloft/soak/SoakFleet.java
@@ -33,6 +33,9 @@
     /** Prompt part on which the engines crash. */
     static final String CRASHING_PART = "bad00bad";
 
+    /** Target of the booking on which the servers of its service crash. */
+    static final String CRASHING_TARGET = "/bookings/crash";
+
     private static final String CLOSING_SERVER = "llm-closing";
     private static final long ENTRY_REMOVAL_MILLIS = 200L;
     private static final long RESTART_MILLIS = 500L;
@@ -75,7 +78,10 @@
 
     private void startBackend(String id) {
         RunnerStandIn backend = new RunnerStandIn(loop.loop(), id, EVENTS_PER_STREAM);
-        backend.crashOn(request -> RunnerStandIn.isPromptPart(CRASHING_PART, request), () -> restartSoon(id));
+        backend.crashOn(
+                request -> RunnerStandIn.isPromptPart(CRASHING_PART, request)
+                        || request.target().equals(CRASHING_TARGET),
+                () -> restartSoon(id));
         FaultProxy proxy = new FaultProxy(loop.group(), loop.loop(), loop.listen(backend, 0));
         backends.put(id, backend);
         proxies.put(id, proxy);
--- a/soak/src/main/java/io/heatherloft/soak/SoakRun.java
+++ b/soak/src/main/java/io/heatherloft/soak/SoakRun.java
@@ -81,6 +81,7 @@
             }
             TroubledServerChecks checks = new TroubledServerChecks(fleet, checker, seed);
             checks.checkCrashingPrompt();
+            checks.checkCrashingRequest();
             checks.checkServerLimit();
             // Builds before this one do not read what leaving servers say.
             if (builds.size() == 1) {
--- a/soak/src/main/java/io/heatherloft/soak/TroubledServerChecks.java
+++ b/soak/src/main/java/io/heatherloft/soak/TroubledServerChecks.java
@@ -10,7 +10,7 @@
 import java.util.function.BooleanSupplier;
 
 /**
- * Checks how a calm fleet treats a prompt part that crashes servers, a server that names a limit, and one that leaves.
+ * Checks how a calm fleet treats a prompt part and a request that crash servers, a server that names a limit, and one that leaves.
  *
  * <p>Confined to one thread.
  */
@@ -30,6 +30,7 @@
     private static final double STABLE_WINDOW_SECONDS = 3;
     private static final double MEASURED_SECONDS = 4;
     private static final int REQUEST_PAUSE_MILLIS = 10;
+    private static final double MIN_QUARANTINE_SECONDS = 60;
     private static final double NANOS_PER_SECOND = 1e9;
 
     private final SoakFleet fleet;
@@ -84,6 +85,48 @@
         }
     }
 
+    /** Sends a request that crashes its servers until every host refuses it. */
+    void checkCrashingRequest() throws InterruptedException {
+        Set<String> refusing = new HashSet<>();
+        int maxRequests = MAX_CRASHING_REQUESTS_PER_HOST * addresses.size();
+        for (int sent = 0; sent < maxRequests && refusing.size() < addresses.size(); sent++) {
+            String address = addresses.get(sent % addresses.size());
+            if (isCrashingBookingRefused(address)) {
+                refusing.add(address);
+            }
+            awaitServers();
+        }
+        if (refusing.size() < addresses.size()) {
+            checker.addFinding("only " + refusing + " refuse the request that crashes servers");
+        }
+        int before = crashingBookings();
+        for (String address : addresses) {
+            boolean _refused = isCrashingBookingRefused(address);
+        }
+        if (crashingBookings() > before) {
+            checker.addFinding("the request that crashes servers reached one although all hosts had refused it");
+        }
+    }
+
+    private boolean isCrashingBookingRefused(String address) throws InterruptedException {
+        requests++;
+        InvariantChecker.SentRequest request =
+                new InvariantChecker.SentRequest(InvariantChecker.Kind.BOOKING, "checks-" + requests);
+        checker.onSent(request);
+        return caller.sendCrashingBooking(request, address)
+                .filter(TroubledServerChecks::isRefusedAsCrashing)
+                .isPresent();
+    }
+
+    // Builds before the incident of crashing requests ask callers to wait for a minute, later ones for five.
+    private static boolean isRefusedAsCrashing(HttpResponse<String> response) {
+        return response.statusCode() == REFUSED
+                && response.headers()
+                        .firstValue("Retry-After")
+                        .filter(value -> Double.parseDouble(value) >= MIN_QUARANTINE_SECONDS)
+                        .isPresent();
+    }
+
     private Optional<HttpResponse<String>> sendStream(String part, String address) throws InterruptedException {
         requests++;
         InvariantChecker.SentRequest request =
@@ -163,6 +206,15 @@
         return elapsed;
     }
 
+    private int crashingBookings() {
+        int[] count = new int[1];
+        fleet.runOnLoop(() -> count[0] = (int) fleet.backends().values().stream()
+                .flatMap(backend -> backend.receivedRequests().stream())
+                .filter(request -> request.target().equals(SoakFleet.CRASHING_TARGET))
+                .count());
+        return count[0];
+    }
+
     private int received(String server) {
         int[] count = new int[1];
         fleet.runOnLoop(
