Crashes from reports without ages count as old, and rests do not grow as hosts tell each other

Two hosts that tell each other of a rest prolonged it by the time of each message; a difference of half a second is needed now.

--- a/domain/src/main/java/io/heatherloft/domain/route/UnavailableServers.java
+++ b/domain/src/main/java/io/heatherloft/domain/route/UnavailableServers.java
@@ -22,7 +22,7 @@
     private static final long LAST_RESORT_MILLIS = 1_000L;
     private static final int MAX_SERVERS = 1_024;
     // Times left of a rest leave out the time that messages take.
-    private static final long CLOCK_TOLERANCE_MILLIS = 500L;
+    private static final long MESSAGE_TOLERANCE_MILLIS = 500L;
 
     private final Map<Long, Long> leavingSinceMillis = BoundedMap.withFifoEviction(MAX_SERVERS);
     private final Map<Long, Long> restEndMillis = BoundedMap.withFifoEviction(MAX_SERVERS);
@@ -70,10 +70,12 @@
      * server alone.
      */
     public void recordSharedRest(Rest rest, long nowMillis) {
-        boolean _new = recordRest(rest.server(), rest.remainingMillis(), nowMillis);
-        long endMillis = restEndMillis.get(rest.server());
-        Long known = sharedRestEndMillis.put(rest.server(), endMillis);
-        if (known == null || endMillis - known > CLOCK_TOLERANCE_MILLIS) {
+        long endMillis = nowMillis + Math.min(rest.remainingMillis(), MAX_REST_MILLIS);
+        Long known = sharedRestEndMillis.get(rest.server());
+        // Otherwise hosts that tell each other of a rest would prolong it with each message.
+        if (known == null || endMillis - known > MESSAGE_TOLERANCE_MILLIS) {
+            boolean _new = recordRest(rest.server(), rest.remainingMillis(), nowMillis);
+            sharedRestEndMillis.put(rest.server(), endMillis);
             lastChangeMillis = nowMillis;
         }
     }
--- a/domain/src/test/java/io/heatherloft/domain/route/UnavailableServersTest.java
+++ b/domain/src/test/java/io/heatherloft/domain/route/UnavailableServersTest.java
@@ -70,5 +70,17 @@
             assertThat(told.remainingRestMillis(OTHER, 1_000)).isEqualTo(0);
             assertThat(servers.sharedRests(10, 3_000)).isEmpty();
         }
+
+        @Test
+        void is_not_prolonged_by_hosts_that_tell_each_other() {
+            UnavailableServers other = new UnavailableServers();
+            servers.recordSharedRest(new Rest(SERVER, 3_000), 0);
+            for (long now = 0; now < 3_000; now += 200) {
+                long received = now + 100;
+                servers.sharedRests(10, now).forEach(rest -> other.recordSharedRest(rest, received));
+                other.sharedRests(10, received).forEach(rest -> servers.recordSharedRest(rest, received + 100));
+            }
+            assertThat(servers.remainingRestMillis(SERVER, 3_000)).isEqualTo(0);
+        }
     }
 }
--- a/router/src/main/java/io/heatherloft/router/peers/CrashNewsCodec.java
+++ b/router/src/main/java/io/heatherloft/router/peers/CrashNewsCodec.java
@@ -23,6 +23,9 @@
  * <p>Stateless and safe for use by several threads.
  */
 final class CrashNewsCodec {
+    /** Age up to which crashes are told in reports; the builds that read them there count each from its arrival. */
+    static final long MAX_REPORTED_CRASH_AGE_MILLIS = 60_000L;
+
     private CrashNewsCodec() {}
 
     static CrashNews encode(long fingerprint, CrashingPrompts.News news, long nowMillis) {
@@ -96,13 +99,15 @@
                         .toList());
     }
 
-    // Builds before RequestCrashNews tell crashes and answers in reports alone, without ages.
+    // Builds before RequestCrashNews tell crashes in reports alone, without their ages. The greatest age is assumed, so
+    // that any
+    // later answer clears the request. Their answers are left out, because they may be failures.
     static CrashingRequests.News decode(HostReport report, long nowMillis) {
-        long reportedMillis = nowMillis - report.getAgeMillis();
+        long crashMillis = nowMillis - report.getAgeMillis() - MAX_REPORTED_CRASH_AGE_MILLIS;
         return new CrashingRequests.News(
                 report.getCrashesList().stream()
                         .map(crash -> new CrashingRequestDetector.Crash(
-                                crash.getRequestHash(), crash.getServer(), reportedMillis))
+                                crash.getRequestHash(), crash.getServer(), crashMillis))
                         .toList(),
                 List.of());
     }
--- a/router/src/main/java/io/heatherloft/router/peers/FleetGossip.java
+++ b/router/src/main/java/io/heatherloft/router/peers/FleetGossip.java
@@ -47,8 +47,6 @@
     private static final int REPORTS_PER_MESSAGE_IN_SHORT_ROUNDS = 2;
     // Limits the size of a report to a few hundred bytes; requests that crash servers are rare.
     private static final int CRASHES_PER_REPORT = 12;
-    // Builds that read crashes from reports alone count each anew for this time after its crash.
-    private static final long MAX_REPORTED_CRASH_AGE_MILLIS = 60_000L;
     private static final int REQUEST_CRASHES_PER_MESSAGE = 32;
     // Limits the size of a message to a few kilobytes.
     private static final int CRASHES_PER_MESSAGE = 64;
@@ -174,8 +172,8 @@
     public CompletableFuture<PeerReply> handle(PeerRequest request) {
         KnowledgeExchange received = request.getKnowledge();
         applyRetainedSessions(received);
-        applyReports(received);
         applyCrashes(received);
+        applyReports(received);
         reports.serverNotices().merge(received);
         boolean sameCrashes =
                 received.getCrashes().getFingerprint() == crashingPrompts().fingerprint();
@@ -242,7 +240,7 @@
                         .setOutstanding(server.outstanding())));
         CrashingRequests.News suspects = registry.crashingRequests().news(CRASHES_PER_REPORT);
         suspects.crashes().stream()
-                .filter(crash -> loop.nowMillis() - crash.atMillis() <= MAX_REPORTED_CRASH_AGE_MILLIS)
+                .filter(crash -> loop.nowMillis() - crash.atMillis() <= CrashNewsCodec.MAX_REPORTED_CRASH_AGE_MILLIS)
                 .forEach(crash -> report.addCrashes(RequestCrash.newBuilder()
                         .setRequestHash(crash.request())
                         .setServer(crash.server())));
@@ -270,8 +268,8 @@
                 .forEach(prefixNews -> fleet.applyFromHost(PrefixNewsCodec.decode(prefixNews), sender));
         // A report may start the canary phase, in which a session that is not known to be retained can move.
         applyRetainedSessions(message);
-        applyReports(message);
         applyCrashes(message);
+        applyReports(message);
         reports.serverNotices().merge(message);
         if (!connected) {
             connected = true;
@@ -288,6 +286,7 @@
                         retained.getHashesList())));
     }
 
+    // Applied before the reports, which tell some of the same crashes without their ages.
     private void applyCrashes(KnowledgeExchange message) {
         registry.crashingRequests().merge(CrashNewsCodec.decode(message.getRequestCrashes(), loop.nowMillis()));
         if (message.hasCrashes()) {
