--- a/router/src/main/java/io/heatherloft/router/peers/CrashNewsCodec.java
+++ b/router/src/main/java/io/heatherloft/router/peers/CrashNewsCodec.java
@@ -100,8 +100,7 @@
     }
 
     // Builds before RequestCrashNews tell crashes in reports alone, without their ages. The greatest age is assumed, so
-    // that any
-    // later answer clears the request. Their answers are left out, because they may be failures.
+    // that any later answer clears the request. Their answers are left out, because they may be failures.
     static CrashingRequests.News decode(HostReport report, long nowMillis) {
         long crashMillis = nowMillis - report.getAgeMillis() - MAX_REPORTED_CRASH_AGE_MILLIS;
         return new CrashingRequests.News(
