An odd entry among those of the servers concerns no other value

Cause: entries of another writer were read with whatever they held. Nested 400 deep, one overflowed the stack of the loop's thread (-Xss256k); the Error passed every catch, so that the listing ended there and the watch was never opened. Port 99999 was taken and made each send to that server throw; port 0, address 999.0.0.1 (looked up as a name, on the loop), 0 slots, a sequence number cut to 64 bits and an ID that no header can hold were taken as well. An exception that a reader does not declare ended the listing too.

FleetView confines any failure of a reader to its value; an entry that cannot be read takes its server out of use until it registers again. One log line a key and reason (UnreadableValues). Addresses that other hosts report are checked where connections are opened.

--- a/domain/src/main/java/io/heatherloft/domain/route/BackendRegistration.java
+++ b/domain/src/main/java/io/heatherloft/domain/route/BackendRegistration.java
@@ -22,4 +22,10 @@
         String version,
         int slots,
         boolean draining,
-        long sequence) {}
+        long sequence) {
+    /** Returns the registration of the same server while it takes no new requests. */
+    public BackendRegistration asDraining() {
+        return new BackendRegistration(
+                id, startedAtMillis, service, address, availabilityZone, version, slots, true, sequence);
+    }
+}
--- a/peer/src/main/java/io/heatherloft/peer/NettyPeerNetwork.java
+++ b/peer/src/main/java/io/heatherloft/peer/NettyPeerNetwork.java
@@ -17,6 +17,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 
 /**
@@ -50,7 +51,12 @@
 
     @Override
     public CompletableFuture<PeerReply> call(String address, PeerRequest request) {
-        Connection connection = connections.computeIfAbsent(address, this::open);
+        Optional<InetSocketAddress> target = SocketAddresses.tryParse(address);
+        if (target.isEmpty()) {
+            return CompletableFuture.failedFuture(
+                    new PeerUnavailableException(address, "expected an IPv4 address and a port"));
+        }
+        Connection connection = connections.computeIfAbsent(address, _address -> open(address, target.get()));
         long correlation = ++lastCorrelationId;
         CompletableFuture<PeerReply> reply = new CompletableFuture<>();
         connection.pendingCalls.put(correlation, reply);
@@ -74,9 +80,8 @@
         List.copyOf(connections.values()).forEach(connection -> connection.close("closed"));
     }
 
-    private Connection open(String address) {
+    private Connection open(String address, InetSocketAddress target) {
         Connection connection = new Connection(address);
-        InetSocketAddress target = SocketAddresses.parse(address);
         ChannelFuture connecting = bootstrap
                 .clone()
                 .handler(new FrameChannelInitializer(
--- a/router/src/main/java/io/heatherloft/router/backend/RelayClient.java
+++ b/router/src/main/java/io/heatherloft/router/backend/RelayClient.java
@@ -16,6 +16,7 @@
 import io.netty.util.CharsetUtil;
 import io.netty.util.ReferenceCountUtil;
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.Optional;
 import java.util.function.Consumer;
@@ -93,8 +94,12 @@
                                         + " in vain"));
                 return;
             }
-            String host = candidates.get(asked);
+            Optional<InetSocketAddress> host = SocketAddresses.tryParse(candidates.get(asked));
             asked++;
+            if (host.isEmpty()) {
+                askNext();
+                return;
+            }
             Request request = new Request(endpoint, this::onReply);
             ChannelFuture connecting = bootstrap
                     .clone()
@@ -104,7 +109,7 @@
                             channel.pipeline().addLast(new LineBasedFrameDecoder(RelayServer.MAX_LINE_BYTES), request);
                         }
                     })
-                    .connect(SocketAddresses.parse(host));
+                    .connect(host.get());
             connecting.addListener(_done -> {
                 if (!connecting.isSuccess()) {
                     request.end(RelayReply.UNAVAILABLE);
--- a/router/src/main/java/io/heatherloft/router/fleet/BackendRegistry.java
+++ b/router/src/main/java/io/heatherloft/router/fleet/BackendRegistry.java
@@ -46,6 +46,17 @@
         known.update(entry, revision);
     }
 
+    /**
+     * Takes a known server out of use whose entry can no longer be read. Its requests in progress continue, as they do while it
+     * drains.
+     */
+    public void withdraw(String id, StoreRevision revision) {
+        find(id).filter(server -> !server.entry().draining()).ifPresent(server -> {
+            server.update(server.entry().asDraining(), revision);
+            logChange(server.entry(), revision, "withdrawn");
+        });
+    }
+
     /** Removes a server, if it is known. */
     public void remove(String id, StoreRevision revision) {
         BackendServerState known = servers.remove(id);
--- a/router/src/main/java/io/heatherloft/router/fleet/FleetView.java
+++ b/router/src/main/java/io/heatherloft/router/fleet/FleetView.java
@@ -1,6 +1,5 @@
 package io.heatherloft.router.fleet;
 
-import com.codahale.metrics.Counter;
 import com.codahale.metrics.MetricRegistry;
 import io.heatherloft.domain.Bytes;
 import io.heatherloft.domain.StoreRevision;
@@ -25,7 +24,8 @@
  *
  * <p>Values come from the store and, through gossip, from other hosts. Of two values of a key from one era of the store the
  * one with the higher revision wins, whatever its source; {@link RestorePolicy} decides between eras. The version of the
- * configuration never decreases. Values that cannot be parsed are ignored. Confined to the loop's thread.
+ * configuration never decreases. Values that cannot be parsed are ignored; a backend server with such an entry is not used.
+ * Confined to the loop's thread.
  */
 public final class FleetView {
     // A timer may fire before the loop's clock shows that its time has passed.
@@ -38,7 +38,7 @@
     private final BackendRegistry registry;
     private final VersionPolicies versions;
     private final DecisionLog log;
-    private final Counter unreadableValues;
+    private final UnreadableValues unreadableValues;
     private final List<WatchedPrefix> prefixes;
     private final WatchedPrefix backends;
     private Optional<RoutingConfiguration> configuration = Optional.empty();
@@ -66,7 +66,7 @@
         this.registry = registry;
         this.versions = versions;
         this.log = log;
-        this.unreadableValues = metrics.counter("store_values_unreadable_total");
+        this.unreadableValues = new UnreadableValues(log, metrics.counter("store_values_unreadable_total"));
         WatchedPrefix operators = new WatchedPrefix(store, formats.operatorPrefix());
         this.backends = new WatchedPrefix(store, formats.backendPrefix());
         WatchedPrefix states = new WatchedPrefix(store, formats.rolloutStatePrefix());
@@ -249,31 +249,39 @@
                 .with("outcome", "outdated"));
     }
 
+    // One value must not keep the others from being followed, so a reader's unforeseen failure concerns its value only.
     private void onPut(StoreValue value) {
-        String key = value.key();
         try {
-            if (key.equals(formats.configurationKey())) {
-                onConfiguration(formats.readConfiguration(value.value()), value.revision());
-            } else if (key.startsWith(formats.rolloutOrderPrefix())) {
-                onRolloutOrder(key.substring(formats.rolloutOrderPrefix().length()), value);
-            } else if (key.startsWith(formats.rolloutStatePrefix())) {
-                onRolloutState(key.substring(formats.rolloutStatePrefix().length()), value);
-            } else if (key.startsWith(formats.rolloutProgressPrefix())) {
-                onRolloutProgress(key.substring(formats.rolloutProgressPrefix().length()), value);
-            } else if (key.startsWith(formats.crashRecordPrefix())) {
-                onCrashRecord(key.substring(formats.crashRecordPrefix().length()), value);
-            } else if (key.startsWith(formats.backendPrefix())) {
-                BackendRegistration entry = formats.readBackend(
-                        key.substring(formats.backendPrefix().length()), value.value());
-                versions.onVersionSeen(entry.service(), entry.version());
-                registry.update(entry, value.revision());
+            read(value);
+            unreadableValues.onRead(value.key());
+        } catch (UnreadableValueException | RuntimeException | StackOverflowError exception) {
+            unreadableValues.onUnreadable(value, exception);
+            if (value.key().startsWith(formats.backendPrefix())) {
+                registry.withdraw(backendId(value.key()), value.revision());
             }
-        } catch (UnreadableValueException exception) {
-            unreadableValues.inc();
-            log.stateChange("stored_value", line -> line.with("key", key)
-                    .with("revision", value.revision().number())
-                    .with("reason", exception.getMessage())
-                    .with("outcome", "ignored"));
+        }
+    }
+
+    private String backendId(String key) {
+        return key.substring(formats.backendPrefix().length());
+    }
+
+    private void read(StoreValue value) throws UnreadableValueException {
+        String key = value.key();
+        if (key.equals(formats.configurationKey())) {
+            onConfiguration(formats.readConfiguration(value.value()), value.revision());
+        } else if (key.startsWith(formats.rolloutOrderPrefix())) {
+            onRolloutOrder(key.substring(formats.rolloutOrderPrefix().length()), value);
+        } else if (key.startsWith(formats.rolloutStatePrefix())) {
+            onRolloutState(key.substring(formats.rolloutStatePrefix().length()), value);
+        } else if (key.startsWith(formats.rolloutProgressPrefix())) {
+            onRolloutProgress(key.substring(formats.rolloutProgressPrefix().length()), value);
+        } else if (key.startsWith(formats.crashRecordPrefix())) {
+            onCrashRecord(key.substring(formats.crashRecordPrefix().length()), value);
+        } else if (key.startsWith(formats.backendPrefix())) {
+            BackendRegistration entry = formats.readBackend(backendId(key), value.value());
+            versions.onVersionSeen(entry.service(), entry.version());
+            registry.update(entry, value.revision());
         }
     }
 
@@ -323,6 +331,7 @@
     }
 
     private void onDelete(String key, StoreRevision revision) {
+        unreadableValues.onRead(key);
         if (key.startsWith(formats.rolloutOrderPrefix())) {
             versions.of(key.substring(formats.rolloutOrderPrefix().length())).onOrderRemoved();
         } else if (key.startsWith(formats.rolloutStatePrefix())) {
