A refusal that a server writes once more is not taken for the next one

Cause: a refusal without an attempt ID was believed on any connection, so a late copy of the refusal of an earlier request ended the one that ran (REFUSED), or sent it to a second server (TWICE). A request that came back to a server on the connection that had carried its refusal could meet a copy with its own ID.

Change: on a connection that has carried another exchange, a response without an ID is discarded, and logged; with it what it says of limits, rests and departures. A request that returns to a server goes over a new connection. The stand-in of the servers states the ID in its 421 too, as the servers do.

--- a/router/src/main/java/io/heatherloft/router/backend/BackendConnection.java
+++ b/router/src/main/java/io/heatherloft/router/backend/BackendConnection.java
@@ -46,6 +46,7 @@
     private boolean responseComplete;
     private boolean reusable;
     private boolean discarding;
+    private boolean first = true;
     private int informationalResponses;
     private long discardedBytes;
     private long idleMillis;
@@ -250,6 +251,7 @@
             idleSinceMillis = loop.nowMillis();
             channel.config().setAutoRead(true);
             idleTimer = loop.schedule(idleMillis, this::close);
+            first = false;
             pool.release(this);
         }
     }
@@ -299,6 +301,11 @@
             return BackendConnection.this.isRelayed();
         }
 
+        @Override
+        public boolean isFirst() {
+            return first;
+        }
+
         @Override
         public void cancel() {
             if (active == this) {
--- a/router/src/main/java/io/heatherloft/router/backend/BackendConnectionPool.java
+++ b/router/src/main/java/io/heatherloft/router/backend/BackendConnectionPool.java
@@ -132,6 +132,12 @@
             reused++;
             return connection.startExchange(request, listener);
         }
+        return sendOnNewConnection(endpoint, request, listener);
+    }
+
+    /** Sends a request on a new connection. Takes ownership of the request. */
+    public BackendExchange sendOnNewConnection(
+            BackendEndpoint endpoint, FullHttpRequest request, ResponseListener listener) {
         opened++;
         return connect(endpoint, request, listener);
     }
--- a/router/src/main/java/io/heatherloft/router/backend/BackendExchange.java
+++ b/router/src/main/java/io/heatherloft/router/backend/BackendExchange.java
@@ -8,6 +8,9 @@
     /** Returns true if another host connects this one to the backend server. */
     boolean isRelayed();
 
+    /** Returns true if the connection carried no exchange before this one. */
+    boolean isFirst();
+
     /** Closes the connection, so that the backend server stops processing. The listener is not called again. */
     void cancel();
 
--- a/router/src/main/java/io/heatherloft/router/request/Attempt.java
+++ b/router/src/main/java/io/heatherloft/router/request/Attempt.java
@@ -2,6 +2,7 @@
 
 import io.heatherloft.domain.route.CrashingPromptDetector;
 import io.heatherloft.ports.loop.Loop;
+import io.heatherloft.router.backend.BackendConnectionPool;
 import io.heatherloft.router.backend.BackendExchange;
 import io.heatherloft.router.backend.ExchangeFailure;
 import io.heatherloft.router.backend.ResponseListener;
@@ -121,11 +122,19 @@
                         .with("time_left_ms", dispatch.timeLeftMillis())
                         .with("model", dispatch.model().orElse(""))
                         .with("outcome", "sent"));
-        exchange = execution.engine().connectionPool().send(server.endpoint(), outgoingRequest, this);
+        exchange = send(outgoingRequest);
         lastReceivedMillis = sentAtMillis;
         checkInactivity();
     }
 
+    // A connection that has carried this request before may carry a late copy of the refusal, which has the same ID.
+    private BackendExchange send(FullHttpRequest outgoingRequest) {
+        BackendConnectionPool pool = execution.engine().connectionPool();
+        return execution.hasTried(server)
+                ? pool.sendOnNewConnection(server.endpoint(), outgoingRequest, this)
+                : pool.send(server.endpoint(), outgoingRequest, this);
+    }
+
     private void checkInactivity() {
         if (ended) {
             return;
@@ -202,8 +211,8 @@
     @Override
     public boolean onHeaders(int newStatus, HttpHeaders newHeaders) {
         ResponseMetadata metadata = execution.engine().headerCodec().readResponse(newStatus, newHeaders);
-        if (metadata.attemptId().isPresent()
-                && !metadata.attemptId().equals(execution.metadata().attemptId())) {
+        if (!isForThisRequest(metadata)) {
+            logDiscarded(newStatus, metadata);
             return false;
         }
         clearPendingPromptTokens();
@@ -233,6 +242,26 @@
         return true;
     }
 
+    // A response without an ID may be a late copy of one to an earlier request, if the connection has carried any.
+    private boolean isForThisRequest(ResponseMetadata metadata) {
+        Optional<String> ownId = execution.metadata().attemptId();
+        return metadata.attemptId().isPresent()
+                ? metadata.attemptId().equals(ownId)
+                : ownId.isEmpty() || exchange.isFirst();
+    }
+
+    private void logDiscarded(int discardedStatus, ResponseMetadata metadata) {
+        execution
+                .engine()
+                .log()
+                .request("response", execution.metadata().attemptId().orElse(""), line -> line.with(
+                                "backend_id", server.entry().id())
+                        .with("status", discardedStatus)
+                        .with("response_to", metadata.attemptId().orElse(""))
+                        .with("not_executed", metadata.notExecuted())
+                        .with("outcome", "discarded"));
+    }
+
     private void recordRequestLimit(ResponseMetadata metadata) {
         boolean executed = !metadata.notExecuted() && status != STATUS_MISDIRECTED_REQUEST;
         if (!executed && metadata.requestLimit().isEmpty()) {
--- a/router/src/main/java/io/heatherloft/router/request/RequestExecution.java
+++ b/router/src/main/java/io/heatherloft/router/request/RequestExecution.java
@@ -104,6 +104,11 @@
         return relay;
     }
 
+    /** Returns true if the request was sent to the server before, without a usable response. */
+    boolean hasTried(BackendServerState server) {
+        return triedServers.contains(server.entry().id());
+    }
+
     long timeLeftMillis() {
         return deadlineAtMillis - engine.loop().nowMillis();
     }
--- a/standins/src/main/java/io/heatherloft/standins/platform/RunnerStandIn.java
+++ b/standins/src/main/java/io/heatherloft/standins/platform/RunnerStandIn.java
@@ -178,7 +178,10 @@
         }
         String expected = request.headers().get("X-Expect-Runner", id);
         if (!expected.equals(id)) {
-            send(exchange, MISDIRECTED, new DefaultHttpHeaders(), "");
+            HttpHeaders headers = new DefaultHttpHeaders();
+            headers.set(
+                    PlatformFixtures.REQUEST_ID_HEADER, request.headers().get(PlatformFixtures.REQUEST_ID_HEADER, ""));
+            send(exchange, MISDIRECTED, headers, "");
             return;
         }
         receivedRequests.add(request);
