--- a/entry/src/main/java/io/heatherloft/entry/EntryHost.java
+++ b/entry/src/main/java/io/heatherloft/entry/EntryHost.java
@@ -49,8 +49,10 @@
  * loop.
  */
 final class EntryHost {
-    // Limits the requests of a watch, because status entries change several times a second.
-    private static final long MIN_WATCH_INTERVAL_MILLIS = 250L;
+    // Changes that follow one another are fetched together, but each well within the time in which it must take effect.
+    private static final int WATCHES_PER_CHANGE_DEADLINE = 8;
+    private static final long MIN_WATCH_INTERVAL_MILLIS = 100L;
+    private static final long MAX_WATCH_INTERVAL_MILLIS = 500L;
     // The load balancer checks readiness every second and removes a host after two failed checks.
     private static final long BALANCER_NOTICE_MILLIS = 2_500L;
     // Requests still in progress this long before the end of the grace period are cut off, so that callers of streams
@@ -98,16 +100,16 @@
         PlatformStore store = new PlatformStore(
                 loop,
                 new PlatformHttpClient(loop, storePool, new BackendEndpoint("store", settings.storeAddress())),
-                MIN_WATCH_INTERVAL_MILLIS);
+                watchIntervalMillis(settings));
         PlatformFormats formats = new PlatformFormats();
         BackendRegistry registry = new BackendRegistry(loop, log);
         VersionPolicies versions = new VersionPolicies(loop, new SessionVersions(settings.sessionIdleTimeoutMillis()));
         this.fleetView = new FleetView(loop, store, formats, registry, versions, log, metrics, new Random());
         this.reports = new HostReports(loop, settings.hostName());
         this.rollouts = new RolloutController(
-                loop, store, formats, versions, log, fleetView::storeEra, reports::hostCount, new Random());
-        this.crashRecorder = new CrashRecorder(
-                loop, store, formats, registry.crashingPrompts(), log, reports::hostCount, new Random());
+                loop, store, formats, versions, log, fleetView::storeEra, reports::writeDelayMillis);
+        this.crashRecorder =
+                new CrashRecorder(loop, store, formats, registry.crashingPrompts(), log, reports::writeDelayMillis);
         this.peerNetwork = new NettyPeerNetwork(group, loop, peerTraffic);
         this.gossip = new FleetGossip(
                 loop,
@@ -172,6 +174,11 @@
                 .with("reason", lost ? "other hosts reach servers that this host does not" : "connected directly"));
     }
 
+    private static long watchIntervalMillis(PlatformSettings settings) {
+        long intervalMillis = settings.changeDeadlineMillis() / WATCHES_PER_CHANGE_DEADLINE;
+        return Math.max(MIN_WATCH_INTERVAL_MILLIS, Math.min(MAX_WATCH_INTERVAL_MILLIS, intervalMillis));
+    }
+
     private static EngineSettings engineSettings(PlatformSettings settings) {
         return new EngineSettings(
                 settings.availabilityZone(),
--- a/entry/src/test/java/io/heatherloft/entry/EntryHostHarness.java
+++ b/entry/src/test/java/io/heatherloft/entry/EntryHostHarness.java
@@ -145,6 +145,7 @@
                 0.9,
                 52,
                 10_000L,
+                2_000L,
                 0);
         EntryHost host = EntryHost.start(settings, EntryHost.newLogQueue(), earlyListener, 0, serverAddresses);
         hosts.add(host);
--- a/router/src/main/java/io/heatherloft/router/fleet/CrashRecorder.java
+++ b/router/src/main/java/io/heatherloft/router/fleet/CrashRecorder.java
@@ -8,8 +8,6 @@
 import io.heatherloft.ports.store.WriteOutcome;
 import io.heatherloft.router.log.DecisionLog;
 import java.util.OptionalLong;
-import java.util.Random;
-import java.util.function.IntSupplier;
 
 /**
  * Records in the store which prompt parts are blocked, so that the fleet knows them after all of its hosts have
@@ -22,7 +20,6 @@
     private static final long TICK_MILLIS = 500L;
     private static final long RECORD_TTL_MILLIS = 600_000L;
     // Hosts wait for a random time, of up to this value per known host, so that few of them write the same record.
-    private static final int WRITE_JITTER_MILLIS_PER_HOST = 8;
     private static final long RETRY_MILLIS = 5_000L;
 
     private final Loop loop;
@@ -30,15 +27,14 @@
     private final StoredFormats formats;
     private final CrashingPrompts crashingPrompts;
     private final DecisionLog log;
-    private final IntSupplier hostCount;
-    private final Random random;
+    private final WriteTurns writeTurns;
     private Loop.Cancellation tickTimer = () -> {};
     private boolean pending;
 
     /**
      * Creates a recorder that is idle until {@link #start}.
      *
-     * @param hostCount supplies the number of known hosts, including this one
+     * @param writeTurns tells when this host may write what all hosts are about to write
      */
     public CrashRecorder(
             Loop loop,
@@ -46,15 +42,13 @@
             StoredFormats formats,
             CrashingPrompts crashingPrompts,
             DecisionLog log,
-            IntSupplier hostCount,
-            Random random) {
+            WriteTurns writeTurns) {
         this.loop = loop;
         this.store = store;
         this.formats = formats;
         this.crashingPrompts = crashingPrompts;
         this.log = log;
-        this.hostCount = hostCount;
-        this.random = random;
+        this.writeTurns = writeTurns;
     }
 
     /** Starts to look for parts that are blocked and not recorded. */
@@ -68,10 +62,11 @@
     }
 
     private void tick() {
-        if (!pending && crashingPrompts.unrecorded().isPresent()) {
-            pending = true;
-            int jitterMillis = WRITE_JITTER_MILLIS_PER_HOST * hostCount.getAsInt();
-            loop.schedule(random.nextInt(jitterMillis), this::writeNext);
+        if (!pending) {
+            crashingPrompts.unrecorded().ifPresent(crashRecord -> {
+                pending = true;
+                loop.schedule(writeTurns.delayMillis(crashRecord.name()), this::writeNext);
+            });
         }
     }
 
--- a/router/src/main/java/io/heatherloft/router/fleet/RolloutController.java
+++ b/router/src/main/java/io/heatherloft/router/fleet/RolloutController.java
@@ -13,9 +13,7 @@
 import java.util.HashSet;
 import java.util.Map;
 import java.util.OptionalLong;
-import java.util.Random;
 import java.util.Set;
-import java.util.function.IntSupplier;
 import java.util.function.LongSupplier;
 
 /**
@@ -28,7 +26,6 @@
     private static final long TICK_MILLIS = 200L;
     // Hosts that are about to write the same value each wait for a random time, of up to this value per known host. The
     // first write then reaches most of the other hosts, in about 30 ms, before their own write is due.
-    private static final int WRITE_JITTER_MILLIS_PER_HOST = 8;
 
     private final Loop loop;
     private final KeyValueStore store;
@@ -36,8 +33,7 @@
     private final VersionPolicies versions;
     private final DecisionLog log;
     private final LongSupplier storeEra;
-    private final IntSupplier hostCount;
-    private final Random random;
+    private final WriteTurns writeTurns;
     private final Map<String, ScheduledWrite> scheduledWrites = new HashMap<>();
     private final Set<String> pendingStateWrites = new HashSet<>();
     private final Set<String> pendingProgressWrites = new HashSet<>();
@@ -49,7 +45,7 @@
      * Creates a controller that is idle until {@link #start}.
      *
      * @param storeEra supplies the newest known era of the store
-     * @param hostCount supplies the number of known hosts that control the same rollouts, including this one
+     * @param writeTurns tells when this host may write what all hosts are about to write
      */
     public RolloutController(
             Loop loop,
@@ -58,16 +54,14 @@
             VersionPolicies versions,
             DecisionLog log,
             LongSupplier storeEra,
-            IntSupplier hostCount,
-            Random random) {
+            WriteTurns writeTurns) {
         this.loop = loop;
         this.store = store;
         this.formats = formats;
         this.versions = versions;
         this.log = log;
         this.storeEra = storeEra;
-        this.hostCount = hostCount;
-        this.random = random;
+        this.writeTurns = writeTurns;
     }
 
     /** Starts the periodic reconciliation of rollouts. */
@@ -202,8 +196,7 @@
         long now = loop.nowMillis();
         ScheduledWrite turn = scheduledWrites.get(key);
         if (turn == null || !turn.purpose().equals(purpose)) {
-            int spreadMillis = WRITE_JITTER_MILLIS_PER_HOST * (hostCount.getAsInt() - 1);
-            turn = new ScheduledWrite(purpose, now + (spreadMillis > 0 ? random.nextInt(spreadMillis) : 0));
+            turn = new ScheduledWrite(purpose, now + writeTurns.delayMillis(key + ' ' + purpose));
             scheduledWrites.put(key, turn);
             loop.schedule(turn.dueMillis() - now, this::tick);
         }
--- a/router/src/main/java/io/heatherloft/router/peers/HostReports.java
+++ b/router/src/main/java/io/heatherloft/router/peers/HostReports.java
@@ -1,5 +1,6 @@
 package io.heatherloft.router.peers;
 
+import io.heatherloft.domain.StableHash;
 import io.heatherloft.peer.generated.HostReport;
 import io.heatherloft.ports.loop.Loop;
 import java.util.ArrayList;
@@ -28,8 +29,14 @@
     // A host that sent no report for this time is no longer contacted or counted.
     private static final long MAX_KNOWN_AGE_MILLIS = 60_000L;
 
+    // Time in which another host usually learns of a write.
+    private static final long WRITE_STEP_MILLIS = 400L;
+    private static final long MAX_WRITE_TURNS = 30L;
+    private static final long FIRST_WRITE_SPREAD_MILLIS = 1_000L;
+
     private final Loop loop;
     private final String self;
+    private final Random random;
     private final Map<String, ReceivedReport> byHost = new HashMap<>();
     private final ServerNotices serverNotices;
     private String ownZone = "";
@@ -40,6 +47,7 @@
     public HostReports(Loop loop, String self) {
         this.loop = loop;
         this.self = self;
+        this.random = new Random(StableHash.of(self));
         this.serverNotices = new ServerNotices(loop, self, this::hostCount);
     }
 
@@ -127,6 +135,26 @@
         return 1 + known().size();
     }
 
+    /**
+     * Returns the time after which this host may write a value that all hosts are about to write: none for the first host in an
+     * order by hashes, which hosts that know each other agree on, and a step for each one before it.
+     *
+     * @param purpose names the value
+     */
+    public long writeDelayMillis(String purpose) {
+        Collection<HostReport> others = alive();
+        if (others.isEmpty()) {
+            // All hosts may have started at the same moment.
+            return random.nextInt((int) FIRST_WRITE_SPREAD_MILLIS);
+        }
+        long own = StableHash.of(self, purpose);
+        long before = others.stream()
+                .filter(report -> !report.getStopping())
+                .filter(report -> StableHash.of(report.getHost(), purpose) < own)
+                .count();
+        return Math.min(MAX_WRITE_TURNS, before) * WRITE_STEP_MILLIS;
+    }
+
     /** Returns the number of requests in progress on each backend server, summed over recent reports of other hosts. */
     public Map<String, Integer> outstandingByBackend() {
         Map<String, Integer> loads = new HashMap<>();
--- a/router/src/test/java/io/heatherloft/router/peers/HostReportsTest.java
+++ b/router/src/test/java/io/heatherloft/router/peers/HostReportsTest.java
@@ -12,6 +12,8 @@
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 final class HostReportsTest {
     /** A loop with a manually advanced clock, which accepts no tasks. */
@@ -139,4 +141,58 @@
             }
         }
     }
+
+    /** The pattern of a value that every host is about to write at the same moment. */
+    @Nested
+    final class TurnsToWrite {
+        private static final long KNOWN_AFTER_MILLIS = 1_000L;
+        private static final int MAX_WRITERS = 3;
+
+        private List<Long> delays(int hostCount, String purpose) {
+            return IntStream.range(0, hostCount)
+                    .mapToObj(self -> {
+                        HostReports reports = new HostReports(new ManualClockLoop(), "h" + self);
+                        IntStream.range(0, hostCount)
+                                .forEach(host -> reports.add(HostReport.newBuilder()
+                                        .setHost("h" + host)
+                                        .setIncarnation(1)
+                                        .setSequence(1)
+                                        .build()));
+                        return reports.writeDelayMillis(purpose);
+                    })
+                    .toList();
+        }
+
+        @ParameterizedTest
+        @ValueSource(ints = {6, 95, 360})
+        void let_few_hosts_write_before_the_others_learn_of_it(int hostCount) {
+            IntStream.range(0, 20).forEach(purpose -> {
+                List<Long> delays = delays(hostCount, "purpose " + purpose);
+                long first = delays.stream().mapToLong(Long::longValue).min().orElseThrow();
+                assertThat(first).isEqualTo(0);
+                assertThat(delays.stream()
+                                .filter(delay -> delay < first + KNOWN_AFTER_MILLIS)
+                                .count())
+                        .isAtMost(MAX_WRITERS);
+            });
+        }
+
+        @Test
+        void fall_to_different_hosts_for_different_values() {
+            long writers = IntStream.range(0, 40)
+                    .mapToObj(purpose -> delays(20, "purpose " + purpose).indexOf(0L))
+                    .distinct()
+                    .count();
+            assertThat(writers).isAtLeast(10);
+        }
+
+        @Test
+        void are_spread_among_hosts_that_know_no_other() {
+            long different = IntStream.range(0, 95)
+                    .mapToObj(self -> new HostReports(new ManualClockLoop(), "h" + self).writeDelayMillis("x"))
+                    .distinct()
+                    .count();
+            assertThat(different).isAtLeast(60);
+        }
+    }
 }
--- a/router/src/test/java/io/heatherloft/router/peers/RestoredFleet.java
+++ b/router/src/test/java/io/heatherloft/router/peers/RestoredFleet.java
@@ -294,16 +294,14 @@
                     member.versions,
                     member.log,
                     member.view::storeEra,
-                    member.reports::hostCount,
-                    new Random(random.nextLong()));
+                    member.reports::writeDelayMillis);
             this.recorder = new CrashRecorder(
                     loop,
                     client,
                     formats,
                     member.registry.crashingPrompts(),
                     member.log,
-                    member.reports::hostCount,
-                    new Random(random.nextLong()));
+                    member.reports::writeDelayMillis);
             loop.schedule(random.nextInt(200), () -> {
                 member.view.start();
                 controller.start();
