A host that is told to stop while it starts stops gracefully

Cause: the handler of SIGTERM was installed once the host had started, though it listens for callers from its first moment.

Change: the hook is installed before the listener; it waits for the end of the start, then stops the host.

A signal before main, in the first 0.05 to 0.2 s of the JVM, still has the JVM's default action.

--- a/entry/src/main/java/io/heatherloft/entry/EntryMain.java
+++ b/entry/src/main/java/io/heatherloft/entry/EntryMain.java
@@ -11,6 +11,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicReference;
 
@@ -27,6 +28,8 @@
     private static final int EXIT_START_FAILED = 3;
 
     private static final AtomicReference<Runnable> RELOAD_ACTION = new AtomicReference<>(() -> {});
+    // Completed once the start has ended; empty if it failed.
+    private static final CompletableFuture<Optional<EntryHost>> STARTED = new CompletableFuture<>();
 
     private EntryMain() {}
 
@@ -35,8 +38,9 @@
         // Must come first, because SIGHUP terminates the process until a handler is installed. A SIGHUP that arrives
         // before the settings are read needs no action.
         HangupSignal.handle(() -> RELOAD_ACTION.get().run());
-        EarlyListener earlyListener = EarlyListener.fromSystemProperty();
         LineQueue logQueue = EntryHost.newLogQueue();
+        stopOnSignal(logQueue);
+        EarlyListener earlyListener = EarlyListener.fromSystemProperty();
         String path = arguments.length > 0
                 ? arguments[0]
                 : Optional.ofNullable(System.getenv(PlatformSettings.FILE_VARIABLE))
@@ -44,6 +48,7 @@
         InternalLoggerFactory.setDefaultFactory(new NettyLoggerFactory(logQueue::offer));
         int exitCode = run(path, logQueue, earlyListener);
         if (exitCode != 0) {
+            STARTED.complete(Optional.empty());
             System.exit(exitCode);
         }
     }
@@ -73,17 +78,25 @@
         }
     }
 
+    /**
+     * Stops the host when the process receives SIGTERM. A host that is still starting may have read requests already, so its
+     * start is completed first.
+     */
     @SuppressWarnings("ShutdownHook") // The host is the whole process; no container manages its lifecycle.
+    private static void stopOnSignal(LineQueue logQueue) {
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> STARTED.join().ifPresent(host -> {
+            host.stop().join();
+            logQueue.finish();
+            // Without the halt, the process would exit with the signal's exit code after a graceful shutdown.
+            Runtime.getRuntime().halt(0);
+        })));
+    }
+
     private static void serve(PlatformSettings settings, LineQueue logQueue, EarlyListener earlyListener)
             throws InterruptedException {
         EntryHost host = EntryHost.start(settings, logQueue, earlyListener, METRICS_PORT);
-        // Without the halt, the process would exit with the signal's exit code after a graceful shutdown.
-        Runtime.getRuntime().addShutdownHook(new Thread(() -> {
-            host.stop().join();
-            host.flushLog();
-            Runtime.getRuntime().halt(0);
-        }));
         RELOAD_ACTION.set(host::reload);
+        STARTED.complete(Optional.of(host));
         new CountDownLatch(1).await();
     }
 }
