--- a/entry/src/main/java/io/heatherloft/entry/EntryMain.java
+++ b/entry/src/main/java/io/heatherloft/entry/EntryMain.java
@@ -38,17 +38,21 @@
         // Must come first, because SIGHUP terminates the process until a handler is installed. A SIGHUP that arrives
         // before the settings are read needs no action.
         HangupSignal.handle(() -> RELOAD_ACTION.get().run());
-        LineQueue logQueue = EntryHost.newLogQueue();
-        stopOnSignal(logQueue);
+        stopOnSignal();
         EarlyListener earlyListener = EarlyListener.fromSystemProperty();
+        LineQueue logQueue = EntryHost.newLogQueue();
         String path = arguments.length > 0
                 ? arguments[0]
                 : Optional.ofNullable(System.getenv(PlatformSettings.FILE_VARIABLE))
                         .orElse("");
         InternalLoggerFactory.setDefaultFactory(new NettyLoggerFactory(logQueue::offer));
-        int exitCode = run(path, logQueue, earlyListener);
-        if (exitCode != 0) {
+        int exitCode;
+        try {
+            exitCode = run(path, logQueue, earlyListener);
+        } finally {
             STARTED.complete(Optional.empty());
+        }
+        if (exitCode != 0) {
             System.exit(exitCode);
         }
     }
@@ -83,10 +87,10 @@
      * start is completed first.
      */
     @SuppressWarnings("ShutdownHook") // The host is the whole process; no container manages its lifecycle.
-    private static void stopOnSignal(LineQueue logQueue) {
+    private static void stopOnSignal() {
         Runtime.getRuntime().addShutdownHook(new Thread(() -> STARTED.join().ifPresent(host -> {
             host.stop().join();
-            logQueue.finish();
+            host.flushLog();
             // Without the halt, the process would exit with the signal's exit code after a graceful shutdown.
             Runtime.getRuntime().halt(0);
         })));
