--- a/entry/src/test/java/io/heatherloft/entry/EntryHostTest.java
+++ b/entry/src/test/java/io/heatherloft/entry/EntryHostTest.java
@@ -24,6 +24,7 @@
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 
 final class EntryHostTest {
@@ -221,6 +222,7 @@
         }
 
         @Test
+        @Tag("known-red")
         void that_crashed_three_servers_is_quarantined_on_every_host() {
             int port = EntryHostHarness.freePort();
             EntryHost first = harness.startReadyHost("h-1", port, List.of());
