--- a/entry/src/main/java/io/heatherloft/entry/ConsoleConfiguration.java
+++ b/entry/src/main/java/io/heatherloft/entry/ConsoleConfiguration.java
@@ -48,14 +48,9 @@
         addAppender(appender);
         getRootLogger().setLevel(Level.INFO);
         getRootLogger().addAppender(appender, null, null);
-        addLogger(NETTY_LOGGER, new LoggerConfig(NETTY_LOGGER, Level.ERROR, true));
-        setParents();
-    }
-
-    private void setParents() {
-        getLoggers().values().stream()
-                .filter(logger -> !logger.equals(getRootLogger()))
-                .forEach(logger -> logger.setParent(getRootLogger()));
+        LoggerConfig netty = new LoggerConfig(NETTY_LOGGER, Level.ERROR, true);
+        netty.setParent(getRootLogger());
+        addLogger(NETTY_LOGGER, netty);
     }
 
     /** Writes a map message as a JSON object, any other message as it is, and the kind and place of a throwable. */
--- a/router/src/main/java/io/heatherloft/router/fleet/CrashRecorder.java
+++ b/router/src/main/java/io/heatherloft/router/fleet/CrashRecorder.java
@@ -19,7 +19,6 @@
 public final class CrashRecorder {
     private static final long TICK_MILLIS = 500L;
     private static final long RECORD_TTL_MILLIS = 600_000L;
-    // Hosts wait for a random time, of up to this value per known host, so that few of them write the same record.
     private static final long RETRY_MILLIS = 5_000L;
 
     private final Loop loop;
--- a/router/src/main/java/io/heatherloft/router/fleet/FleetView.java
+++ b/router/src/main/java/io/heatherloft/router/fleet/FleetView.java
@@ -189,7 +189,7 @@
         Optional<PrefixReplica.Change> current = prefix.replica.find(change.key());
         if (restorePolicy.stillHolds(change, current, prefix.eraAgeMillis()) && prefix.replica.addEarlier(change)) {
             if (change.deleted() && change.key().startsWith(formats.backendPrefix())) {
-                registry.remove(change.key().substring(formats.backendPrefix().length()), change.revision());
+                registry.remove(backendId(change.key()), change.revision());
             } else {
                 deliver(change);
             }
@@ -342,7 +342,7 @@
             registry.crashingPrompts()
                     .onRecordRemoved(key.substring(formats.crashRecordPrefix().length()));
         } else if (key.startsWith(formats.backendPrefix())) {
-            onBackendRemoved(key.substring(formats.backendPrefix().length()), revision);
+            onBackendRemoved(backendId(key), revision);
         }
     }
 
--- a/router/src/main/java/io/heatherloft/router/fleet/RolloutController.java
+++ b/router/src/main/java/io/heatherloft/router/fleet/RolloutController.java
@@ -24,8 +24,6 @@
  */
 public final class RolloutController {
     private static final long TICK_MILLIS = 200L;
-    // Hosts that are about to write the same value each wait for a random time, of up to this value per known host. The
-    // first write then reaches most of the other hosts, in about 30 ms, before their own write is due.
 
     private final Loop loop;
     private final KeyValueStore store;
--- a/router/src/main/java/io/heatherloft/router/fleet/UnreadableValues.java
+++ b/router/src/main/java/io/heatherloft/router/fleet/UnreadableValues.java
@@ -1,9 +1,9 @@
 package io.heatherloft.router.fleet;
 
 import com.codahale.metrics.Counter;
+import io.heatherloft.domain.BoundedMap;
 import io.heatherloft.ports.store.StoreValue;
 import io.heatherloft.router.log.DecisionLog;
-import java.util.LinkedHashMap;
 import java.util.Map;
 
 /**
@@ -17,7 +17,7 @@
 
     private final DecisionLog log;
     private final Counter counter;
-    private final Map<String, String> reasons = new LinkedHashMap<>();
+    private final Map<String, String> reasons = BoundedMap.withFifoEviction(MAX_KEYS);
 
     UnreadableValues(DecisionLog log, Counter counter) {
         this.log = log;
@@ -36,9 +36,6 @@
         if (reason.equals(reasons.put(value.key(), reason))) {
             return;
         }
-        if (reasons.size() > MAX_KEYS) {
-            reasons.remove(reasons.keySet().iterator().next());
-        }
         log.stateChange("stored_value", line -> line.with("key", value.key())
                 .with("revision", value.revision().number())
                 .with("reason", reason)
--- a/standins/src/main/java/io/heatherloft/standins/platform/RefusalRepeatingStandIn.java
+++ b/standins/src/main/java/io/heatherloft/standins/platform/RefusalRepeatingStandIn.java
@@ -23,7 +23,6 @@
 
     private final ServerSocket listening;
     private final Repetition repetition;
-    private final List<String> refused = new CopyOnWriteArrayList<>();
     private final List<String> executed = new CopyOnWriteArrayList<>();
 
     /** How a refusal is written the second time. */
@@ -52,11 +51,6 @@
         return listening.getLocalPort();
     }
 
-    /** Returns the IDs of the requests that were refused, in order. */
-    public List<String> refused() {
-        return List.copyOf(refused);
-    }
-
     /** Returns the IDs of the requests that were run, in order. */
     public List<String> executed() {
         return List.copyOf(executed);
@@ -82,7 +76,6 @@
     private void serve(Socket socket) {
         try (socket) {
             String first = readRequest(socket);
-            refused.add(first);
             write(socket, refusalOf(first, Repetition.UNCHANGED));
             while (true) {
                 String id = readRequest(socket);
