--- a/review/3/CrashingPart.java
+++ b/review/3/CrashingPart.java
@@ -18,7 +18,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
- * BUDGET: a part of a prompt crashes each runner that begins to write an answer on it, before the first byte has left the runner.
+ * BUDGET: a part of a prompt crashes each runner that begins to write an answer on it, in the middle of the answer's head.
  * The hosts never block the part: request after request reaches runner after runner, and the service is down most of the time.
  */
 final class CrashingPart {
@@ -30,6 +30,9 @@
     private static final int EVENTS = 8;
     private static final long PREFILL_MILLIS = 100;
     private static final long EVENT_MILLIS = 20;
+    // The runner has begun to write its answer when it crashes, but has not finished the head.
+    private static final int WRITTEN_BYTES = 60;
+    private static final long CRASH_DELAY_MILLIS = 5;
     // "The runner is back after some seconds".
     private static final long RESTART_MILLIS = 3_000;
     // A request with the part comes every two seconds, at each host in turn, no two alike.
@@ -221,15 +224,16 @@
                 lab.note(attempt + " reached " + id);
             }
             Lab.sleep(PREFILL_MILLIS);
+            String head = "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + attempt + "\r\nX-Runner-Seal: " + id
+                    + ".seal\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"
+                    + "Keep-Alive: timeout=5\r\n\r\n";
             if (withPart && lab.trouble) {
+                Lab.write(out, head.substring(0, WRITTEN_BYTES));
+                Lab.sleep(CRASH_DELAY_MILLIS);
                 crash(attempt);
                 return;
             }
-            Lab.write(
-                    out,
-                    "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + attempt + "\r\nX-Runner-Seal: " + id
-                            + ".seal\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"
-                            + "Keep-Alive: timeout=5\r\n\r\n");
+            Lab.write(out, head);
             String last = request.header("Last-Event-Id");
             for (int event = last.isEmpty() ? 1 : Integer.parseInt(last) + 1; event <= EVENTS; event++) {
                 byte[] text = ("id: " + event + "\ndata: token " + event + "\n\n").getBytes(StandardCharsets.ISO_8859_1);
