--- a/review/common/Lab.java
+++ b/review/common/Lab.java
@@ -147,12 +147,12 @@
     static String configuration(long version, long timeoutMillis, long objectiveMillis, long maxBodyBytes) {
         return ("{'version':%d,'routes':["
                         + "{'name':'bookings','host':'a.example','prefix':'/bookings/','route_type':'non_idempotent',"
-                        + "'timeout_ms':%d,'objective_ms':%d,'priority':2,'service':'desk','max_attempts':2,"
+                        + "'timeout_ms':%d,'objective_ms':%d,'priority':2,'service':'desk','max_attempts':1,"
                         + "'anonymous':false},"
                         + "{'name':'lookups','host':'a.example','prefix':'/lookups/','route_type':'idempotent',"
                         + "'timeout_ms':%d,'objective_ms':%d,'priority':2,'service':'desk','max_attempts':2,"
                         + "'anonymous':false}],"
-                        + "'services':[{'name':'desk','health_path':'/health','max_conns':96,'protocol':'h1','tls':false}],"
+                        + "'services':[{'name':'desk','health_path':'/health','max_conns':360,'protocol':'h1','tls':false}],"
                         + "'limits':{'max_header_bytes':16384,'max_body_bytes':%d,'header_timeout_ms':3000,"
                         + "'idle_timeout_ms':15000},"
                         + "'tenants':[{'name':'%s','api_keys':['%s'],'priority':1}]}")
@@ -201,10 +201,11 @@
         private Host(String name) throws IOException {
             this.name = name;
             this.ip = freeAddress();
-            this.front = freePort(ip);
-            this.ready = freePort(ip);
-            this.control = freePort(ip);
-            int shared = freePort(ip);
+            List<Integer> ports = freePorts(ip, 4);
+            this.front = ports.get(0);
+            this.ready = ports.get(1);
+            this.control = ports.get(2);
+            int shared = ports.get(3);
             Path settings = temporary.resolve(name + ".yaml");
             Files.writeString(settings, settings(shared));
             List<String> command = Arrays.asList(deployCommand()
@@ -302,7 +303,7 @@
             return new InetSocketAddress(ip, front);
         }
 
-        private void awaitReady() {
+        private void awaitReady() throws IOException {
             long deadline = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(START_TIMEOUT_MILLIS);
             while (System.nanoTime() < deadline && process.isAlive()) {
                 if (isReady()) {
@@ -311,7 +312,9 @@
                 }
                 sleep(100);
             }
-            throw new IllegalStateException("host " + name + " did not become ready");
+            noteLog("", 20);
+            throw new IllegalStateException("host " + name + " did not become ready"
+                    + (process.isAlive() ? "" : ", exit code " + process.exitValue()));
         }
 
         boolean isReady() {
@@ -385,9 +388,18 @@
         throw new IOException("no free loopback address");
     }
 
-    private static int freePort(String ip) throws IOException {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName(ip))) {
-            return socket.getLocalPort();
+    // All are held until the last is found, so that they differ.
+    private static List<Integer> freePorts(String ip, int count) throws IOException {
+        List<ServerSocket> sockets = new ArrayList<>();
+        try {
+            for (int index = 0; index < count; index++) {
+                sockets.add(new ServerSocket(0, 1, InetAddress.getByName(ip)));
+            }
+            return sockets.stream().map(ServerSocket::getLocalPort).collect(Collectors.toList());
+        } finally {
+            for (ServerSocket socket : sockets) {
+                socket.close();
+            }
         }
     }
 
@@ -505,13 +517,18 @@
             inBackground(this::accept);
         }
 
-        /** Registers the runner in the store. */
+        /** Registers the runner in the store; it has more slots than there are clients, so that it is never full. */
         void register(String service, String state, int sequence) {
+            register(service, state, sequence, 256);
+        }
+
+        /** Registers the runner in the store, with a number of slots that its behaviour keeps to. */
+        void register(String service, String state, int sequence, int slots) {
             store.put(
                     "servers/" + id,
-                    ("{'service':'%s','address':'127.0.0.1:%d','zone':'skane-a','version':'v1','slots':6,'state':'%s',"
+                    ("{'service':'%s','address':'127.0.0.1:%d','zone':'skane-a','version':'v1','slots':%d,'state':'%s',"
                                     + "'cold_left_ms':0,'seq':%d,'born':1772662159541}")
-                            .formatted(service, listening.getLocalPort(), state, sequence)
+                            .formatted(service, listening.getLocalPort(), slots, state, sequence)
                             .replace('\'', '"'));
         }
 
