Bytes that belong to no request cannot become part of the next response

Cause: foreign bytes were looked for behind the HTTP decoder, which holds back an incomplete head. The bytes stayed in it while the connection was in the pool, and the next response was parsed as their continuation. Bytes that come after the next request was sent were never looked at.

Change: ResponseDecoder closes a connection that receives bytes while no response is awaited, or that returns to the pool with bytes left. A head that holds the status line of a further response is broken: the request may have run. New metric and log line.

--- a/entry/src/main/java/io/heatherloft/entry/EntryHost.java
+++ b/entry/src/main/java/io/heatherloft/entry/EntryHost.java
@@ -144,6 +144,9 @@
         metrics.gauge("backend_links_lost", () -> () -> backendPool.isCutOff() ? 1 : 0);
         metrics.gauge("backend_connections_opened", () -> backendPool::opened);
         metrics.gauge("backend_connections_reused", () -> backendPool::reused);
+        metrics.gauge("backend_connections_unsolicited", () -> backendPool::unsolicited);
+        backendPool.onUnsolicitedBytes(serverId -> log.stateChange(
+                "unsolicited_bytes", line -> line.with("backend_id", serverId).with("outcome", "connection_closed")));
         metrics.gauge("store_reachable", () -> () -> fleetView.isStoreReachable() ? 1 : 0);
         metrics.gauge(
                 "configuration_revision",
--- a/entry/src/test/java/io/heatherloft/entry/RepeatedRefusalTest.java
+++ b/entry/src/test/java/io/heatherloft/entry/RepeatedRefusalTest.java
@@ -16,6 +16,7 @@
 /** Backend servers that write an earlier refusal once more on a connection that is in use again. */
 final class RepeatedRefusalTest {
     private static final int REQUESTS = 6;
+    private static final String CUT_OFF = "CUT_OFF.*";
 
     private final EntryHostHarness harness = new EntryHostHarness();
     private final ServerLinks links = new ServerLinks();
@@ -40,6 +41,20 @@
         return servers.stream().flatMap(server -> server.executed().stream()).toList();
     }
 
+    /** Starts a host that reaches the servers through another one only. */
+    private EntryHost startHostWithoutServers() {
+        int peerPort = EntryHostHarness.freePort();
+        EntryHost host = harness.startHost("h-1", peerPort, List.of(), links);
+        EntryHost other = harness.startReadyHost("h-2", EntryHostHarness.freePort(), List.of(peerPort));
+        harness.await(() -> harness.isReady(host));
+        Stream.of(host, other).forEach(started -> {
+            harness.awaitBackendCount(started, 2);
+            harness.await(() -> harness.get(started.metricsPort(), "/metrics").contains("hosts_known 2.0\n"));
+        });
+        links.set(ServerLinks.Mode.RESET);
+        return host;
+    }
+
     /** Sends requests one after another; those that are refused must not have run, and no request may run twice. */
     private void checkPromises(EntryHost host, String method, String path) {
         int answered = 0;
@@ -57,10 +72,56 @@
         assertWithMessage("requests that ran after a refusal").that(answered).isGreaterThan(0);
     }
 
+    /** Sends requests one after another; those that have run must not be reported as refused, nor run twice. */
+    private void checkPromisesOfCutOffCopies(EntryHost host) {
+        for (int request = 1; request <= REQUESTS; request++) {
+            String id = "r" + request;
+            String response = harness.sendPlainRequest(host, "POST", "/bookings/x", id);
+            if (response.startsWith("HTTP/1.1 503")) {
+                assertWithMessage("refused %s", id).that(executed()).doesNotContain(id);
+            } else {
+                assertWithMessage("executed, as %s got %s", id, response)
+                        .that(executed())
+                        .contains(id);
+            }
+        }
+        assertThat(executed()).containsNoDuplicates();
+    }
+
+    /** Guards against review case 1: the next response was read as the rest of a refusal that was cut off. */
+    @Nested
+    final class ACutOffRefusal {
+        @ParameterizedTest
+        @EnumSource(mode = EnumSource.Mode.MATCH_ANY, names = CUT_OFF)
+        void refuses_no_request_that_has_run(Repetition repetition) {
+            startServers(1, repetition);
+            EntryHost host = harness.startReadyHost("h-1", EntryHostHarness.freePort(), List.of());
+            harness.awaitBackendCount(host, 1);
+            checkPromisesOfCutOffCopies(host);
+        }
+
+        @ParameterizedTest
+        @EnumSource(mode = EnumSource.Mode.MATCH_ANY, names = CUT_OFF)
+        void lets_no_request_run_twice(Repetition repetition) {
+            startServers(3, repetition);
+            EntryHost host = harness.startReadyHost("h-1", EntryHostHarness.freePort(), List.of());
+            harness.awaitBackendCount(host, 3);
+            checkPromisesOfCutOffCopies(host);
+        }
+
+        @ParameterizedTest
+        @EnumSource(mode = EnumSource.Mode.MATCH_ANY, names = CUT_OFF)
+        void refuses_no_request_that_has_run_through_another_host(Repetition repetition) {
+            startServers(2, repetition);
+            checkPromisesOfCutOffCopies(startHostWithoutServers());
+            assertThat(links.connections()).isEqualTo(0);
+        }
+    }
+
     @Nested
     final class ARequest {
         @ParameterizedTest
-        @EnumSource(Repetition.class)
+        @EnumSource(mode = EnumSource.Mode.MATCH_NONE, names = CUT_OFF)
         void that_runs_on_the_only_server_is_not_reported_as_refused(Repetition repetition) {
             startServers(1, repetition);
             EntryHost host = harness.startReadyHost("h-1", EntryHostHarness.freePort(), List.of());
@@ -69,7 +130,7 @@
         }
 
         @ParameterizedTest
-        @EnumSource(Repetition.class)
+        @EnumSource(mode = EnumSource.Mode.MATCH_NONE, names = CUT_OFF)
         void that_runs_is_not_sent_to_a_second_server(Repetition repetition) {
             startServers(2, repetition);
             EntryHost host = harness.startReadyHost("h-1", EntryHostHarness.freePort(), List.of());
@@ -78,19 +139,10 @@
         }
 
         @ParameterizedTest
-        @EnumSource(Repetition.class)
+        @EnumSource(mode = EnumSource.Mode.MATCH_NONE, names = CUT_OFF)
         void that_runs_through_another_host_is_not_reported_as_refused(Repetition repetition) {
             startServers(2, repetition);
-            int peerPort = EntryHostHarness.freePort();
-            EntryHost host = harness.startHost("h-1", peerPort, List.of(), links);
-            EntryHost other = harness.startReadyHost("h-2", EntryHostHarness.freePort(), List.of(peerPort));
-            harness.await(() -> harness.isReady(host));
-            Stream.of(host, other).forEach(started -> {
-                harness.awaitBackendCount(started, 2);
-                harness.await(
-                        () -> harness.get(started.metricsPort(), "/metrics").contains("hosts_known 2.0\n"));
-            });
-            links.set(ServerLinks.Mode.RESET);
+            EntryHost host = startHostWithoutServers();
             checkPromises(host, "POST", "/bookings/x");
             assertThat(links.connections()).isEqualTo(0);
         }
--- a/router/src/main/java/io/heatherloft/router/backend/BackendConnection.java
+++ b/router/src/main/java/io/heatherloft/router/backend/BackendConnection.java
@@ -19,11 +19,12 @@
 /**
  * A connection to a backend server.
  *
- * <p>It is returned to the pool only when the request has been written completely and the response was delimited by a
- * content length or chunked encoding. Data received on an idle connection belongs to no request and closes the
- * connection. Confined to the loop's thread.
+ * <p>It is returned to the pool only when the request has been written completely, the response was delimited by a content
+ * length or chunked encoding, and no bytes have followed it. Bytes received on an idle connection belong to no request and
+ * close the connection. A head that is joined of parts of two responses ends the exchange as broken, because the request may
+ * have run. Confined to the loop's thread.
  */
-final class BackendConnection extends ChannelInboundHandlerAdapter {
+final class BackendConnection extends ChannelInboundHandlerAdapter implements ResponseDecoder.Listener {
     private static final Pattern KEEP_ALIVE_TIMEOUT = Pattern.compile("timeout\\s*=\\s*(\\d{1,6})");
     private static final int FIRST_FINAL_STATUS = 200;
     // Limits on what is discarded while the response to a request is awaited.
@@ -35,6 +36,7 @@
     private final Loop loop;
     private final ConnectionPoolSettings settings;
     private final BackendEndpoint endpoint;
+    private final ResponseDecoder decoder = new ResponseDecoder(this);
     private Channel channel;
     private FullHttpRequest pendingRequest;
     private Exchange active;
@@ -70,8 +72,14 @@
         return !closed && channel.isActive() && loop.nowMillis() - idleSinceMillis < idleMillis;
     }
 
+    /** Returns the decoder that the channel needs in front of this connection. */
+    ResponseDecoder decoder() {
+        return decoder;
+    }
+
     BackendExchange startExchange(FullHttpRequest request, ResponseListener listener) {
         idleTimer.cancel();
+        decoder.setMethod(request.method());
         active = new Exchange(listener);
         pool.onExchangeStart(this);
         requestWritten = false;
@@ -153,6 +161,16 @@
         });
     }
 
+    @Override
+    public boolean onBytes() {
+        if (active == null || responseComplete) {
+            pool.onUnsolicitedBytes(this);
+            close();
+            return false;
+        }
+        return true;
+    }
+
     @Override
     public void channelRead(ChannelHandlerContext _context, Object message) {
         pool.onReceived();
@@ -177,6 +195,10 @@
             fail(ExchangeFailure.Kind.BROKEN, "response headers cannot be parsed");
             return;
         }
+        if (ResponseHeads.isJoined(response)) {
+            fail(ExchangeFailure.Kind.BROKEN, "response headers are joined of parts of two responses");
+            return;
+        }
         if (response.status().code() < FIRST_FINAL_STATUS) {
             discarding = true;
             informationalResponses++;
@@ -244,7 +266,10 @@
         if (!responseComplete || closed) {
             return;
         }
-        if (!reusable || idleMillis <= 0) {
+        if (decoder.hasUndecodedBytes()) {
+            pool.onUnsolicitedBytes(this);
+            close();
+        } else if (!reusable || idleMillis <= 0) {
             close();
         } else if (requestWritten) {
             responseComplete = false;
--- a/router/src/main/java/io/heatherloft/router/backend/BackendConnectionPool.java
+++ b/router/src/main/java/io/heatherloft/router/backend/BackendConnectionPool.java
@@ -13,8 +13,7 @@
 import io.netty.channel.socket.nio.NioChannelOption;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.HttpClientCodec;
-import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import java.net.ConnectException;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
@@ -43,7 +42,6 @@
  * again. Confined to the loop's thread.
  */
 public final class BackendConnectionPool {
-    private static final int MAX_HEADER_BYTES = 16_384;
     // TCP keep-alive: a connection whose peer vanished without a reset fails after about three seconds, even while a
     // response is awaited.
     private static final int KEEPALIVE_SECONDS = 1;
@@ -65,10 +63,12 @@
     private final Set<BackendConnection> waiting = Collections.newSetFromMap(new IdentityHashMap<>());
     private RelayClient relay;
     private Consumer<Boolean> linkListener = _lost -> {};
+    private Consumer<String> unsolicitedListener = _serverId -> {};
     private long lastReceivedMillis;
     private long nextQuietProbeMillis;
     private boolean cutOff;
     private long opened;
+    private long unsolicited;
     private long reused;
     private long relayed;
 
@@ -115,6 +115,11 @@
         Loop.Cancellation _running = loop.repeat(PROBE_MILLIS, this::probe);
     }
 
+    /** Sets a listener that is called with the ID of a server that sent bytes which belong to no request. */
+    public void onUnsolicitedBytes(Consumer<String> listener) {
+        unsolicitedListener = listener;
+    }
+
     /** Creates a server that connects other hosts to the servers of which {@code isKnown} returns true. */
     public RelayServer newRelayServer(Predicate<BackendEndpoint> isKnown) {
         return new RelayServer(bootstrap.config().group(), bootstrap, addresses, isKnown, this::isCutOff);
@@ -282,6 +287,11 @@
         waiting.remove(connection);
     }
 
+    void onUnsolicitedBytes(BackendConnection connection) {
+        unsolicited++;
+        unsolicitedListener.accept(connection.endpoint().id());
+    }
+
     void onReceived() {
         lastReceivedMillis = loop.nowMillis();
     }
@@ -309,6 +319,11 @@
         return reused;
     }
 
+    /** Returns the total number of connections closed because of bytes that belonged to no request. */
+    public long unsolicited() {
+        return unsolicited;
+    }
+
     /** Returns the total number of connections through other hosts. */
     public long relayed() {
         return relayed;
@@ -350,8 +365,8 @@
         openDirectly(connection.endpoint(), channel -> join(connection, channel), onFailure);
     }
 
-    private static void join(BackendConnection connection, Channel channel) {
-        channel.pipeline().addLast(newCodec()).addLast(connection);
+    static void join(BackendConnection connection, Channel channel) {
+        channel.pipeline().addLast(new HttpRequestEncoder(), connection.decoder(), connection);
         connection.onConnected(channel);
     }
 
@@ -390,10 +405,6 @@
                         onFailure);
     }
 
-    private static HttpClientCodec newCodec() {
-        return new HttpClientCodec(new HttpDecoderConfig().setMaxHeaderSize(MAX_HEADER_BYTES), false, false);
-    }
-
     void release(BackendConnection connection) {
         idle.computeIfAbsent(connection.endpoint(), _endpoint -> new ArrayDeque<>())
                 .addFirst(connection);
--- a/standins/src/main/java/io/heatherloft/standins/platform/RefusalRepeatingStandIn.java
+++ b/standins/src/main/java/io/heatherloft/standins/platform/RefusalRepeatingStandIn.java
@@ -13,13 +13,15 @@
 /**
  * Stand-in for a faulty backend server that writes a refusal a second time.
  *
- * <p>It refuses the first request on each connection. It runs each further one, but writes the refusal once more before the
- * response. Safe for use by several threads.
+ * <p>It refuses the first request on each connection. It runs each further one, but writes the refusal or its beginning once
+ * more before the response. Safe for use by several threads.
  */
 public final class RefusalRepeatingStandIn implements AutoCloseable {
     private static final Pattern ATTEMPT_ID = Pattern.compile("(?i)x-attempt-id: *([^\r\n]+)");
     private static final Pattern CONTENT_LENGTH = Pattern.compile("(?i)content-length: *([0-9]+)");
+    private static final String FLAG = "X-Not-Executed: 1";
     private static final long RUN_MILLIS = 100L;
+    private static final long SOON_MILLIS = 3L;
 
     private final ServerSocket listening;
     private final Repetition repetition;
@@ -32,7 +34,13 @@
         /** Without the ID of the request. */
         WITHOUT_ID,
         /** Without the ID of the request, and with a request for rest. */
-        WITHOUT_ID_AND_WITH_REST
+        WITHOUT_ID_AND_WITH_REST,
+        /** Cut off inside the value of its flag, together with the refusal. */
+        CUT_OFF_AT_ONCE,
+        /** Cut off inside the value of its flag, soon after the refusal. */
+        CUT_OFF_SOON,
+        /** Cut off inside the value of its flag, once the next request has arrived. */
+        CUT_OFF_LATE
     }
 
     /** Starts a server. */
@@ -76,11 +84,23 @@
     private void serve(Socket socket) {
         try (socket) {
             String first = readRequest(socket);
-            write(socket, refusalOf(first, Repetition.UNCHANGED));
+            String refusal = refusalOf(first, Repetition.UNCHANGED);
+            String cutOff = refusal.substring(0, refusal.indexOf(FLAG) + FLAG.length());
+            write(socket, refusal + (repetition == Repetition.CUT_OFF_AT_ONCE ? cutOff : ""));
+            if (repetition == Repetition.CUT_OFF_SOON) {
+                Thread.sleep(SOON_MILLIS);
+                write(socket, cutOff);
+            }
             while (true) {
                 String id = readRequest(socket);
                 executed.add(id);
-                write(socket, refusalOf(first, repetition));
+                write(
+                        socket,
+                        switch (repetition) {
+                            case UNCHANGED, WITHOUT_ID, WITHOUT_ID_AND_WITH_REST -> refusalOf(first, repetition);
+                            case CUT_OFF_LATE -> cutOff;
+                            case CUT_OFF_AT_ONCE, CUT_OFF_SOON -> "";
+                        });
                 Thread.sleep(RUN_MILLIS);
                 write(
                         socket,
@@ -97,8 +117,8 @@
     private static String refusalOf(String id, Repetition form) {
         String idLine = form == Repetition.UNCHANGED ? "X-Attempt-Id: " + id + "\r\n" : "";
         String restLine = form == Repetition.WITHOUT_ID_AND_WITH_REST ? "Retry-After: 30\r\n" : "";
-        return "HTTP/1.1 503 Service Unavailable\r\n" + idLine + restLine
-                + "X-Not-Executed: 1\r\nKeep-Alive: timeout=5\r\nContent-Length: 0\r\n\r\n";
+        return "HTTP/1.1 503 Service Unavailable\r\n" + FLAG + "\r\n" + idLine + restLine
+                + "Keep-Alive: timeout=5\r\nContent-Length: 0\r\n\r\n";
     }
 
     private static String readRequest(Socket socket) throws IOException {
