An event in small pieces is scanned once

Cause: EventRelay scanned and copied all pending bytes for each piece. Change: it remembers how far it has scanned, and replaces its buffer only when an event was relayed.

--- a/router/src/main/java/io/heatherloft/router/request/EventRelay.java
+++ b/router/src/main/java/io/heatherloft/router/request/EventRelay.java
@@ -9,8 +9,9 @@
 /**
  * Splits a stream of server-sent events into complete events and relays each event once, in order.
  *
- * <p>Invariant: the events relayed are complete and have ascending IDs, whichever attempts they came from. Confined to
- * one thread.
+ * <p>Invariants: the events relayed are complete and have ascending IDs, whichever attempts they came from; each byte
+ * received is scanned once, and copied a constant number of times on average, however small the pieces are in which it
+ * comes. Confined to one thread.
  */
 final class EventRelay {
     private static final String ID_FIELD = "id:";
@@ -21,6 +22,10 @@
 
     private final Consumer<ByteBuf> sink;
     private ByteBuf pending = Unpooled.buffer();
+    // Offsets from the reader index of the pending bytes.
+    private int lineStart;
+    private int scanned;
+    private long processedBytes;
     private OptionalLong lastEventId;
     private long relayedCount;
     private boolean gapDetected;
@@ -39,18 +44,23 @@
     /** Processes the next bytes from the current attempt. */
     void accept(ByteBuf chunk) {
         pending.writeBytes(chunk);
-        int end = findEventEnd(pending.readerIndex());
-        while (end >= 0 && !gapDetected) {
-            ByteBuf event = pending.readRetainedSlice(end - pending.readerIndex());
+        int length = findEventLength();
+        boolean relayed = length >= 0;
+        while (length >= 0 && !gapDetected) {
+            ByteBuf event = pending.readRetainedSlice(length);
             relay(event);
-            end = findEventEnd(pending.readerIndex());
+            length = findEventLength();
+        }
+        if (relayed) {
+            releaseConsumedBytes();
         }
-        releaseConsumedBytes();
     }
 
     /** Discards the incomplete event at the end of the data received so far. */
     void discardPartialEvent() {
         pending.skipBytes(pending.readableBytes());
+        lineStart = 0;
+        scanned = 0;
         releaseConsumedBytes();
     }
 
@@ -64,6 +74,11 @@
         return pending.readableBytes() > MAX_EVENT_BYTES;
     }
 
+    /** Returns the number of bytes scanned or copied, which is the work that the stream has caused. */
+    long processedBytes() {
+        return processedBytes;
+    }
+
     /** Returns true if an event ID was skipped; nothing is relayed after a gap. */
     boolean hasGap() {
         return gapDetected;
@@ -98,18 +113,23 @@
         sink.accept(event);
     }
 
-    private int findEventEnd(int fromIndex) {
-        int lineStart = fromIndex;
-        int lineFeed = pending.indexOf(fromIndex, pending.writerIndex(), LINE_FEED);
+    // Returns the length of the first pending event, or -1 if it is incomplete.
+    private int findEventLength() {
+        int start = pending.readerIndex();
+        processedBytes += pending.readableBytes() - scanned;
+        int lineFeed = pending.indexOf(start + scanned, pending.writerIndex(), LINE_FEED);
         while (lineFeed >= 0) {
-            int length = lineFeed - lineStart;
-            boolean blank = length == 0 || (length == 1 && pending.getByte(lineStart) == CARRIAGE_RETURN);
+            int lineIndex = start + lineStart;
+            int length = lineFeed - lineIndex;
+            boolean blank = length == 0 || (length == 1 && pending.getByte(lineIndex) == CARRIAGE_RETURN);
+            lineStart = blank ? 0 : lineFeed + 1 - start;
+            scanned = lineStart;
             if (blank) {
-                return lineFeed + 1;
+                return lineFeed + 1 - start;
             }
-            lineStart = lineFeed + 1;
-            lineFeed = pending.indexOf(lineStart, pending.writerIndex(), LINE_FEED);
+            lineFeed = pending.indexOf(start + scanned, pending.writerIndex(), LINE_FEED);
         }
+        scanned = pending.readableBytes();
         return -1;
     }
 
@@ -127,6 +147,7 @@
 
     private void releaseConsumedBytes() {
         // The sink may still hold slices of the buffer, so it is replaced instead of compacted in place.
+        processedBytes += pending.readableBytes();
         ByteBuf rest = Unpooled.copiedBuffer(pending);
         pending.release();
         pending = Unpooled.buffer(Math.max(rest.readableBytes(), 1));
--- a/router/src/test/java/io/heatherloft/router/request/EventRelayTest.java
+++ b/router/src/test/java/io/heatherloft/router/request/EventRelayTest.java
@@ -90,4 +90,28 @@
             assertThat(relayed).containsExactly(event(4));
         }
     }
+
+    /** Guards against a server that sends an event without end in small pieces, which took the square of its size. */
+    @Nested
+    final class AnEventInSmallPieces {
+        private static final int BYTES = 100_000;
+
+        @Test
+        void is_scanned_once() {
+            EventRelay relay = relayAfter(OptionalLong.empty());
+            IntStream.range(0, BYTES).forEach(_piece -> feed(relay, "x"));
+            assertThat(relay.hasPartialEvent()).isTrue();
+            assertThat(relay.processedBytes()).isAtMost(2L * BYTES);
+        }
+
+        @Test
+        void is_scanned_once_if_it_has_many_lines() {
+            EventRelay relay = relayAfter(OptionalLong.empty());
+            IntStream.range(0, BYTES / 4).forEach(_piece -> feed(relay, "x:y\n"));
+            assertThat(relay.processedBytes()).isAtMost(2L * BYTES);
+            feed(relay, "\n");
+            assertThat(relayed).hasSize(1);
+            assertThat(relay.hasPartialEvent()).isFalse();
+        }
+    }
 }
