--- a/domain/src/main/java/io/heatherloft/domain/route/CrashingPromptDetector.java
+++ b/domain/src/main/java/io/heatherloft/domain/route/CrashingPromptDetector.java
@@ -25,15 +25,16 @@
  *
  * <p>A server that crashes soon after it has begun a response accuses the parts of that response's prompt. A server that
  * crashes before it has begun the responses which are awaited from it accuses their parts too; since most of these merely
- * ran on the same server, such crashes count for less, and any response that begins shows that the parts of its prompt do not
- * crash servers before. A server that outlives the beginning of a response shows that the parts of its prompt are sound. Of the accused parts, the one with the most crashes is blocked, and those crashes no longer
- * count against other parts. Parts that mostly crashed servers together cannot be told apart, so only requests that contain
- * all of them are blocked.
+ * ran on the same server, such crashes count for less, and any response that begins shows that the parts of its prompt do
+ * not crash servers before. A server that outlives the beginning of a response shows that the parts of its prompt are sound.
  *
- * <p>Invariants: hosts with the same records block the same requests, in whichever order they received the records; a
- * part is blocked only for crashes of several servers under different requests, most of those that happened meanwhile, and only while it is not known to be
- * sound; servers that all crash at the same moment block no part; records are bounded in number
- * and age. Confined to one thread.
+ * <p>Of the accused parts, the one with the most crashes is blocked, and those crashes no longer count against other parts.
+ * Parts that mostly crashed servers together cannot be told apart, so only requests that contain all of them are blocked.
+ *
+ * <p>Invariants: hosts with the same records block the same requests, in whichever order they received the records; a part is
+ * blocked only for crashes of several servers under different requests, most of those that happened meanwhile, and only while
+ * it is not known to be sound; servers that all crash at the same moment block no part; records are bounded in number and
+ * age. Confined to one thread.
  */
 public final class CrashingPromptDetector {
     /** Time after the last crash during which a part is blocked; then it is tried again. */
