Recorded crashes of prompt parts keep distinct moments

Hosts that read a record from the store (a fleet that starts anew, or after a restore) would not have blocked its parts: since a part needs crashes at several moments, and all crashes of a record had the time of reading. The stored form is unchanged.

--- a/domain/src/main/java/io/heatherloft/domain/route/CrashRecord.java
+++ b/domain/src/main/java/io/heatherloft/domain/route/CrashRecord.java
@@ -14,7 +14,8 @@
  * <p>Immutable and thread-safe.
  *
  * @param name identifies the blocked parts
- * @param crashes the crashes; a record read from the store holds the time of reading, because clocks differ
+ * @param crashes the crashes; in a record read from the store they have the time of reading, because clocks differ, but
+ *     those of different servers are still at different moments
  */
 public record CrashRecord(String name, List<Crash> crashes) {
     private static final Pattern LINE = Pattern.compile("([0-9a-f]{1,16}) ([0-9a-f]{1,16}) ([0-9a-f]{1,16})");
@@ -41,11 +42,19 @@
         List<Matcher> lines = text.lines().map(LINE::matcher).toList();
         return lines.isEmpty() || !lines.stream().allMatch(Matcher::matches)
                 ? Optional.empty()
-                : Optional.of(new CrashRecord(
-                        name,
-                        lines.stream()
-                                .map(line -> new Crash(number(line, 1), number(line, 2), number(line, 3), nowMillis))
-                                .toList()));
+                : Optional.of(new CrashRecord(name, crashesOf(lines, nowMillis)));
+    }
+
+    private static List<Crash> crashesOf(List<Matcher> lines, long nowMillis) {
+        List<Long> servers =
+                lines.stream().map(line -> number(line, 2)).distinct().toList();
+        return lines.stream()
+                .map(line -> new Crash(
+                        number(line, 1),
+                        number(line, 2),
+                        number(line, 3),
+                        nowMillis - servers.indexOf(number(line, 2)) * CrashingPromptDetector.DISTINCT_MILLIS))
+                .toList();
     }
 
     private static long number(Matcher line, int group) {
--- a/domain/src/main/java/io/heatherloft/domain/route/CrashingPromptDetector.java
+++ b/domain/src/main/java/io/heatherloft/domain/route/CrashingPromptDetector.java
@@ -51,6 +51,9 @@
     private static final int BLOCKING_SERVERS_AWAITED = 4;
     // Servers that crash within this time of each other are likely to have one cause, such as a loss of power.
     private static final long SIMULTANEOUS_MILLIS = 100L;
+    /** Crashes that are at least so far apart count as several. */
+    static final long DISTINCT_MILLIS = SIMULTANEOUS_MILLIS + 1;
+
     private static final int BLOCKING_MOMENTS = 2;
     // A server that crashes on a prompt does so within this time after its response began.
     private static final long MAX_CRASH_DELAY_MILLIS = 1_000L;
