Tests of repeated refusals and joined responses share their set-up

Cause: four tests of RepeatedRefusalTest started servers and a host by the same three lines, and the test of HEAD in JoinedResponseTest built its connection anew beside the class that does so. Change: startHostWithServers, and a method for Connection. The assertions are the same.

--- a/entry/src/test/java/io/heatherloft/entry/RepeatedRefusalTest.java
+++ b/entry/src/test/java/io/heatherloft/entry/RepeatedRefusalTest.java
@@ -41,6 +41,13 @@
         return servers.stream().flatMap(server -> server.executed().stream()).toList();
     }
 
+    private EntryHost startHostWithServers(int count, Repetition repetition) {
+        startServers(count, repetition);
+        EntryHost host = harness.startReadyHost("h-1", EntryHostHarness.freePort(), List.of());
+        harness.awaitBackendCount(host, count);
+        return host;
+    }
+
     /** Starts a host that reaches the servers through another one only. */
     private EntryHost startHostWithoutServers() {
         int peerPort = EntryHostHarness.freePort();
@@ -94,19 +101,13 @@
         @ParameterizedTest
         @EnumSource(mode = EnumSource.Mode.MATCH_ANY, names = CUT_OFF)
         void refuses_no_request_that_has_run(Repetition repetition) {
-            startServers(1, repetition);
-            EntryHost host = harness.startReadyHost("h-1", EntryHostHarness.freePort(), List.of());
-            harness.awaitBackendCount(host, 1);
-            checkPromisesOfCutOffCopies(host);
+            checkPromisesOfCutOffCopies(startHostWithServers(1, repetition));
         }
 
         @ParameterizedTest
         @EnumSource(mode = EnumSource.Mode.MATCH_ANY, names = CUT_OFF)
         void lets_no_request_run_twice(Repetition repetition) {
-            startServers(3, repetition);
-            EntryHost host = harness.startReadyHost("h-1", EntryHostHarness.freePort(), List.of());
-            harness.awaitBackendCount(host, 3);
-            checkPromisesOfCutOffCopies(host);
+            checkPromisesOfCutOffCopies(startHostWithServers(3, repetition));
         }
 
         @ParameterizedTest
@@ -123,19 +124,13 @@
         @ParameterizedTest
         @EnumSource(mode = EnumSource.Mode.MATCH_NONE, names = CUT_OFF)
         void that_runs_on_the_only_server_is_not_reported_as_refused(Repetition repetition) {
-            startServers(1, repetition);
-            EntryHost host = harness.startReadyHost("h-1", EntryHostHarness.freePort(), List.of());
-            harness.awaitBackendCount(host, 1);
-            checkPromises(host, "POST", "/bookings/x");
+            checkPromises(startHostWithServers(1, repetition), "POST", "/bookings/x");
         }
 
         @ParameterizedTest
         @EnumSource(mode = EnumSource.Mode.MATCH_NONE, names = CUT_OFF)
         void that_runs_is_not_sent_to_a_second_server(Repetition repetition) {
-            startServers(2, repetition);
-            EntryHost host = harness.startReadyHost("h-1", EntryHostHarness.freePort(), List.of());
-            harness.awaitBackendCount(host, 2);
-            checkPromises(host, "POST", "/bookings/x");
+            checkPromises(startHostWithServers(2, repetition), "POST", "/bookings/x");
         }
 
         @ParameterizedTest
--- a/router/src/test/java/io/heatherloft/router/backend/JoinedResponseTest.java
+++ b/router/src/test/java/io/heatherloft/router/backend/JoinedResponseTest.java
@@ -14,9 +14,7 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpVersion;
-import io.netty.util.ReferenceCountUtil;
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
@@ -104,8 +102,8 @@
         }
     }
 
-    private static FullHttpRequest request() {
-        return new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/", Unpooled.EMPTY_BUFFER);
+    private static FullHttpRequest request(HttpMethod method) {
+        return new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, method, "/", Unpooled.EMPTY_BUFFER);
     }
 
     private static void receive(EmbeddedChannel channel, String bytes) {
@@ -122,7 +120,11 @@
         private final Recorder first = new Recorder(EARLIER);
 
         Connection() {
-            BackendExchange _exchange = connection.startExchange(request(), first);
+            this(HttpMethod.GET);
+        }
+
+        Connection(HttpMethod method) {
+            BackendExchange _exchange = connection.startExchange(request(method), first);
             BackendConnectionPool.join(connection, channel);
         }
 
@@ -132,7 +134,7 @@
                 return Optional.empty();
             }
             Recorder recorder = new Recorder(NEXT);
-            BackendExchange _exchange = connection.startExchange(request(), recorder);
+            BackendExchange _exchange = connection.startExchange(request(HttpMethod.GET), recorder);
             return Optional.of(recorder);
         }
 
@@ -238,22 +240,12 @@
 
         @Test
         void reads_no_body_after_the_head_of_a_response_to_head() {
-            List<String> outcomes = new ArrayList<>();
-            EmbeddedChannel channel = new EmbeddedChannel();
-            BackendConnection connection = new BackendConnection(
-                    pool, loop, ConnectionPoolSettings.DEFAULT, new BackendEndpoint("b", "127.0.0.1:1"));
-            Recorder head = new Recorder(EARLIER);
-            BackendExchange _exchange = connection.startExchange(
-                    new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.HEAD, "/", Unpooled.EMPTY_BUFFER),
-                    head);
-            BackendConnectionPool.join(connection, channel);
+            Connection kept = new Connection(HttpMethod.HEAD);
             String response = Kind.SUCCESS.to(EARLIER);
-            receive(channel, response.substring(0, response.length() - "booked".length()));
-            head.outcome.ifPresent(outcomes::add);
-            assertThat(outcomes).containsExactly("200 ");
-            assertThat(connection.isUsable()).isTrue();
-            ReferenceCountUtil.release(channel.readOutbound());
-            boolean _unread = channel.finishAndReleaseAll();
+            receive(kept.channel, response.substring(0, response.length() - "booked".length()));
+            assertThat(kept.first.outcome).hasValue("200 ");
+            assertThat(kept.connection.isUsable()).isTrue();
+            kept.end();
         }
     }
 }
