An interrupted run is reported to the detector once

Change: CrashGuard.onInterrupted tells it once, also for requests without a prompt. The times are dropped after as long as the crashes of parts, which are all that they are compared with. The two places that close a connection after foreign bytes share a method.

--- a/domain/src/main/java/io/heatherloft/domain/route/CrashingPromptDetector.java
+++ b/domain/src/main/java/io/heatherloft/domain/route/CrashingPromptDetector.java
@@ -192,13 +192,6 @@
         }
     }
 
-    /** Records a response whose request was not recorded. */
-    public Response recordResponseStart(long server, Prompt prompt, long nowMillis) {
-        Response response = new Response(server, prompt);
-        recordResponseStart(response, nowMillis);
-        return response;
-    }
-
     /**
      * Records that a response is no longer awaited. Has no effect if it has begun, or if its server crashed.
      *
@@ -525,6 +518,7 @@
         });
         crashesByPart.values().removeIf(Collection::isEmpty);
         crashedServers.values().removeIf(atMillis -> nowMillis - atMillis > DETECTION_WINDOW_MILLIS);
+        allCrashes.values().removeIf(atMillis -> nowMillis - atMillis > RETENTION_MILLIS);
     }
 
     /** Returns the known crashes, first those of the parts with the most crashes that may be due to them. */
--- a/domain/src/test/java/io/heatherloft/domain/route/CrashingPromptDetectorTest.java
+++ b/domain/src/test/java/io/heatherloft/domain/route/CrashingPromptDetectorTest.java
@@ -28,9 +28,15 @@
         return new Prompt(LongStream.of(parts).boxed().toList(), requests);
     }
 
+    private Response begin(long server, Prompt prompt, long startMillis) {
+        Response response = detector.recordSend(server, prompt);
+        detector.recordResponseStart(response, startMillis);
+        return response;
+    }
+
     // A response begins, and its server crashes 60 ms later.
     private void crash(long server, long startMillis, long... parts) {
-        Response _response = detector.recordResponseStart(server, prompt(parts), startMillis);
+        Response _response = begin(server, prompt(parts), startMillis);
         assertThat(detector.recordInterruption(server, startMillis + 60)).isTrue();
         Suspicion _suspicion = detector.recordCrash(server, startMillis + 70);
     }
@@ -41,8 +47,8 @@
     }
 
     private void soundResponse(long startMillis, long... parts) {
-        Response _response = detector.recordResponseStart(99, prompt(parts), startMillis);
-        Response _later = detector.recordResponseStart(99, prompt(), startMillis + 3_000);
+        Response _response = begin(99, prompt(parts), startMillis);
+        Response _later = begin(99, prompt(), startMillis + 3_000);
     }
 
     private boolean isBlocked(long nowMillis, long... parts) {
@@ -66,7 +72,7 @@
         void is_not_blocked_for_crashes_under_one_request() {
             Prompt repeated = prompt(CRASHING_PART);
             LongStream.range(101, 105).forEach(server -> {
-                Response _response = detector.recordResponseStart(server, repeated, server);
+                Response _response = begin(server, repeated, server);
                 Suspicion _suspicion = detector.recordCrash(server, server + 50);
             });
             assertThat(isBlocked(1_000, CRASHING_PART)).isFalse();
@@ -80,8 +86,7 @@
                     List.of(prompt(FIRST_PART, CRASHING_PART), prompt(FIRST_PART, CRASHING_PART));
             LongStream.range(0, 5).forEach(index -> {
                 assertThat(isBlocked(4_000 + index * 300, CRASHING_PART)).isFalse();
-                Response _response = detector.recordResponseStart(
-                        100 + index, requestsInOrder.get(index < 3 ? 0 : 1), 4_000 + index * 300);
+                Response _response = begin(100 + index, requestsInOrder.get(index < 3 ? 0 : 1), 4_000 + index * 300);
                 Suspicion _suspicion = detector.recordCrash(100 + index, 4_050 + index * 300);
             });
             assertThat(isBlocked(6_000, CRASHING_PART)).isTrue();
@@ -128,8 +133,7 @@
         void is_suspected_though_a_short_response_was_complete_before_the_crash() {
             soundResponse(0, FIRST_PART);
             LongStream.range(0, 3).forEach(index -> {
-                Response _response = detector.recordResponseStart(
-                        100 + index, prompt(FIRST_PART, CRASHING_PART), 4_000 + index * 100);
+                Response _response = begin(100 + index, prompt(FIRST_PART, CRASHING_PART), 4_000 + index * 100);
                 detector.mergeCrashedServer(new CrashedServer(100 + index, 4_060 + index * 100), 4_500);
             });
             assertThat(isBlocked(5_000, CRASHING_PART)).isTrue();
@@ -138,7 +142,7 @@
         @Test
         void is_not_suspected_if_the_response_was_abandoned() {
             LongStream.range(0, 3).forEach(index -> {
-                Response response = detector.recordResponseStart(100 + index, prompt(CRASHING_PART), 4_000);
+                Response response = begin(100 + index, prompt(CRASHING_PART), 4_000);
                 response.abandon();
                 Suspicion _suspicion = detector.recordCrash(100 + index, 4_050);
             });
@@ -227,7 +231,7 @@
         void accuses_no_part_to_which_another_server_has_begun_to_respond() {
             LongStream.range(0, 8).forEach(index -> {
                 if (index % 3 == 0) {
-                    Response _response = detector.recordResponseStart(99, prompt(OTHER_PART), 4_000 + index * 4_000);
+                    Response _response = begin(99, prompt(OTHER_PART), 4_000 + index * 4_000);
                 }
                 crashAwaited(100 + index, 5_000 + index * 4_000, List.of(prompt(OTHER_PART)));
             });
@@ -297,7 +301,7 @@
 
         @Test
         void are_not_blocked_alone_if_they_are_also_part_of_a_response_that_ended_just_before_a_crash() {
-            Response _response = detector.recordResponseStart(100, prompt(FIRST_PART, OTHER_PART), 3_950);
+            Response _response = begin(100, prompt(FIRST_PART, OTHER_PART), 3_950);
             threeCrashes(4_000);
             assertThat(isBlocked(5_000, FIRST_PART, CRASHING_PART)).isTrue();
             assertThat(isBlocked(5_000, FIRST_PART, OTHER_PART)).isFalse();
@@ -307,8 +311,7 @@
         void of_concurrent_responses_are_not_blocked_for_crashes_that_another_part_explains() {
             LongStream.range(0, 4).forEach(index -> {
                 if (index < 3) {
-                    Response _response =
-                            detector.recordResponseStart(100 + index, prompt(OTHER_PART), 3_900 + index * 100);
+                    Response _response = begin(100 + index, prompt(OTHER_PART), 3_900 + index * 100);
                 }
                 crash(100 + index, 4_000 + index * 100, CRASHING_PART);
             });
@@ -322,7 +325,7 @@
         @Test
         void that_leaves_without_an_interruption_accuses_no_part() {
             LongStream.range(0, 3).forEach(index -> {
-                Response _response = detector.recordResponseStart(100 + index, prompt(CRASHING_PART), 0);
+                Response _response = begin(100 + index, prompt(CRASHING_PART), 0);
                 assertThat(detector.recordLeave(100 + index, 100).responses()).isEqualTo(0);
             });
             assertThat(isBlocked(1_000, CRASHING_PART)).isFalse();
@@ -331,7 +334,7 @@
         @Test
         void that_interrupts_responses_and_stays_up_accuses_no_part() {
             LongStream.range(0, 3).forEach(index -> {
-                Response _response = detector.recordResponseStart(100 + index, prompt(CRASHING_PART), 0);
+                Response _response = begin(100 + index, prompt(CRASHING_PART), 0);
                 assertThat(detector.recordInterruption(100 + index, 50)).isTrue();
             });
             assertThat(isBlocked(1_000, CRASHING_PART)).isFalse();
--- a/router/src/main/java/io/heatherloft/router/backend/BackendConnection.java
+++ b/router/src/main/java/io/heatherloft/router/backend/BackendConnection.java
@@ -138,6 +138,11 @@
         }
     }
 
+    private void closeAfterUnsolicitedBytes() {
+        pool.onUnsolicitedBytes(this);
+        close();
+    }
+
     private void closeChannel() {
         if (channel != null) {
             ChannelFuture _closed = channel.close();
@@ -166,8 +171,7 @@
     @Override
     public boolean onBytes() {
         if (active == null || responseComplete) {
-            pool.onUnsolicitedBytes(this);
-            close();
+            closeAfterUnsolicitedBytes();
             return false;
         }
         if (!bytesReceived) {
@@ -273,8 +277,7 @@
             return;
         }
         if (decoder.hasUndecodedBytes()) {
-            pool.onUnsolicitedBytes(this);
-            close();
+            closeAfterUnsolicitedBytes();
         } else if (!reusable || idleMillis <= 0) {
             close();
         } else if (requestWritten) {
--- a/router/src/main/java/io/heatherloft/router/request/Attempt.java
+++ b/router/src/main/java/io/heatherloft/router/request/Attempt.java
@@ -392,7 +392,7 @@
             return;
         }
         if (failure.kind() != ExchangeFailure.Kind.NOT_SENT) {
-            response.ifPresent(execution.crashGuard()::onInterrupted);
+            execution.crashGuard().onInterrupted(server, response);
         }
         markEnded();
         if (failure.kind() == ExchangeFailure.Kind.NOT_SENT) {
--- a/router/src/main/java/io/heatherloft/router/request/CrashGuard.java
+++ b/router/src/main/java/io/heatherloft/router/request/CrashGuard.java
@@ -72,13 +72,15 @@
         crashingPrompts.onEnd(response);
     }
 
-    void onInterrupted(CrashingPromptDetector.Response response) {
-        boolean _checked = crashingPrompts.onInterruption(response);
+    /** Called when a run was interrupted, which can be that of a request without a prompt. */
+    void onInterrupted(BackendServerState server, Optional<CrashingPromptDetector.Response> response) {
+        boolean _checked =
+                response.map(crashingPrompts::onInterruption).orElseGet(() -> crashingPrompts.onInterruption(server));
     }
 
+    /** Called after an interruption if the request is still being executed. */
     void onResponseInterrupted(BackendServerState server) {
         crashingRequests.onIncompleteRun(server, fingerprint());
-        boolean _young = crashingPrompts.onInterruption(server);
         connectionPool.checkUp(server.endpoint(), () -> onCrash(server));
     }
 
