Settings, configuration and headers of cold servers and evacuations are read

They are decoded in the platform module into typed fields; nothing decides by them yet, so no deployment is served differently.

--- a/domain/src/main/java/io/heatherloft/domain/route/BackendRegistration.java
+++ b/domain/src/main/java/io/heatherloft/domain/route/BackendRegistration.java
@@ -12,6 +12,7 @@
  * @param slots maximum number of requests that the server runs concurrently
  * @param draining true if the server finishes its requests and takes no new ones
  * @param sequence rises with each registration of the process; 0 if unknown
+ * @param coldMillis time from the registration for which the server is cold; 0 if it is not
  */
 public record BackendRegistration(
         String id,
@@ -22,10 +23,11 @@
         String version,
         int slots,
         boolean draining,
-        long sequence) {
+        long sequence,
+        long coldMillis) {
     /** Returns the registration of the same server while it takes no new requests. */
     public BackendRegistration asDraining() {
         return new BackendRegistration(
-                id, startedAtMillis, service, address, availabilityZone, version, slots, true, sequence);
+                id, startedAtMillis, service, address, availabilityZone, version, slots, true, sequence, coldMillis);
     }
 }
--- a/entry/src/main/java/io/heatherloft/entry/EntryHost.java
+++ b/entry/src/main/java/io/heatherloft/entry/EntryHost.java
@@ -186,7 +186,9 @@
         return new EngineSettings(
                 settings.availabilityZone(),
                 settings.retryRatio() * RETRY_BUDGET_SHARE,
-                settings.retryAllowance() * RETRY_BUDGET_SHARE);
+                settings.retryAllowance() * RETRY_BUDGET_SHARE,
+                settings.coldBound(),
+                settings.admissionControl());
     }
 
     /** Creates a log queue that defers initialization of the logging library until the host has started. */
--- a/entry/src/test/java/io/heatherloft/entry/EntryHostHarness.java
+++ b/entry/src/test/java/io/heatherloft/entry/EntryHostHarness.java
@@ -146,6 +146,8 @@
                 52,
                 10_000L,
                 2_000L,
+                Optional.empty(),
+                false,
                 0);
         EntryHost host = EntryHost.start(settings, EntryHost.newLogQueue(), earlyListener, 0, serverAddresses);
         hosts.add(host);
--- a/platform/src/main/java/io/heatherloft/platform/JsonTree.java
+++ b/ports/src/main/java/io/heatherloft/ports/json/JsonTree.java
@@ -1,4 +1,4 @@
-package io.heatherloft.platform;
+package io.heatherloft.ports.json;
 
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonGenerator;
@@ -22,7 +22,7 @@
  * calendars and locales, which blocks the loop of a host with a third of a core for more than a second. The nodes'
  * {@code toString} creates a mapper as well. Stateless and safe for use by several threads.
  */
-final class JsonTree {
+public final class JsonTree {
     // Bounds the recursion in this class, which must fit on the stack of the loop's thread.
     private static final int MAX_NESTING_DEPTH = 32;
     private static final int MAX_NUMBER_LENGTH = 400;
@@ -37,16 +37,16 @@
     private JsonTree() {}
 
     /** Returns an empty object. */
-    static ObjectNode newObject() {
+    public static ObjectNode newObject() {
         return NODES.objectNode();
     }
 
     /**
      * Parses the first value of the text; returns a missing node if the text is blank.
      *
-     * @throws IOException if the text is not valid JSON, or nested deeper than the platform's values are
+     * @throws IOException if the text is not valid JSON, or nested deeper than 32 levels
      */
-    static JsonNode read(byte[] text) throws IOException {
+    public static JsonNode read(byte[] text) throws IOException {
         try (JsonParser parser = FACTORY.createParser(text)) {
             JsonToken first = parser.nextToken();
             return first == null ? MissingNode.getInstance() : readValue(parser, first);
@@ -54,7 +54,7 @@
     }
 
     /** Returns the value as JSON text. */
-    static String write(JsonNode value) {
+    public static String write(JsonNode value) {
         StringWriter text = new StringWriter();
         try (JsonGenerator generator = FACTORY.createGenerator(text)) {
             writeValue(generator, value);
--- a/router/src/main/java/io/heatherloft/router/fleet/StoredFormats.java
+++ b/router/src/main/java/io/heatherloft/router/fleet/StoredFormats.java
@@ -8,12 +8,15 @@
 
 /** Keys and value formats of the data that operators, backend servers and hosts share through the store. */
 public interface StoredFormats {
-    /** Returns the prefix of the keys that operators write: the configuration and the rollout orders. */
+    /** Returns the prefix of the keys that operators write: the configuration, the rollout orders and the evacuations. */
     String operatorPrefix();
 
     /** Returns the key of the configuration. */
     String configurationKey();
 
+    /** Returns the key prefix of orders to evacuate an availability zone; the name of the zone follows. */
+    String evacuationPrefix();
+
     /** Returns the key prefix of rollout orders; the service name follows. */
     String rolloutOrderPrefix();
 
--- a/router/src/main/java/io/heatherloft/router/request/ResponseMetadata.java
+++ b/router/src/main/java/io/heatherloft/router/request/ResponseMetadata.java
@@ -16,6 +16,7 @@
  * @param confidence the model's confidence in its response, from 0 to 100
  * @param requestLimit requests per second that the server accepts from all hosts together, if it names a limit
  * @param leaving true if the server says that it leaves
+ * @param coldMillis time for which the server will be cold, if it says so; 0 if it says that it is not
  * @param restMillis time for which the server wants no requests of this host, if it has turned this one away and says so
  */
 public record ResponseMetadata(
@@ -25,4 +26,5 @@
         OptionalInt confidence,
         OptionalDouble requestLimit,
         boolean leaving,
+        OptionalLong coldMillis,
         OptionalLong restMillis) {}
--- a/router/src/test/java/io/heatherloft/router/peers/CrashingPromptFleetTest.java
+++ b/router/src/test/java/io/heatherloft/router/peers/CrashingPromptFleetTest.java
@@ -232,7 +232,7 @@
             void learn(Server server) {
                 revision++;
                 registry.update(
-                        new BackendRegistration(server.id, 1L, "llm", "127.0.0.1:1", "a", "v1", 64, false, 0L),
+                        new BackendRegistration(server.id, 1L, "llm", "127.0.0.1:1", "a", "v1", 64, false, 0L, 0L),
                         StoreRevision.ofFirstEra(revision));
             }
 
--- a/router/src/test/java/io/heatherloft/router/peers/CrashingRequestFleetTest.java
+++ b/router/src/test/java/io/heatherloft/router/peers/CrashingRequestFleetTest.java
@@ -266,7 +266,7 @@
             void learn(Server server) {
                 revision++;
                 registry.update(
-                        new BackendRegistration(server.id, 1L, "desk", "127.0.0.1:1", "a", "v1", 64, false, 0L),
+                        new BackendRegistration(server.id, 1L, "desk", "127.0.0.1:1", "a", "v1", 64, false, 0L, 0L),
                         StoreRevision.ofFirstEra(revision));
             }
 
--- a/router/src/test/java/io/heatherloft/router/peers/ServerLimitFleetTest.java
+++ b/router/src/test/java/io/heatherloft/router/peers/ServerLimitFleetTest.java
@@ -58,7 +58,8 @@
             toldMillis.remove(name);
             IntStream.range(0, servers)
                     .forEach(index -> host.registry.update(
-                            new BackendRegistration("s" + index, 1L, "llm", "127.0.0.1:1", "a", "v1", 64, false, 0L),
+                            new BackendRegistration(
+                                    "s" + index, 1L, "llm", "127.0.0.1:1", "a", "v1", 64, false, 0L, 0L),
                             REVISION));
             return host;
         }
--- a/router/src/test/java/io/heatherloft/router/peers/ServerNoticeFleetTest.java
+++ b/router/src/test/java/io/heatherloft/router/peers/ServerNoticeFleetTest.java
@@ -37,7 +37,7 @@
             IntStream.range(0, 2)
                     .forEach(index -> host.registry.update(
                             new BackendRegistration(
-                                    "s" + index, startedAtMillis, "llm", "127.0.0.1:1", "a", "v1", 64, false, 0L),
+                                    "s" + index, startedAtMillis, "llm", "127.0.0.1:1", "a", "v1", 64, false, 0L, 0L),
                             StoreRevision.ofFirstEra(startedAtMillis)));
         }
 
--- a/router/src/test/java/io/heatherloft/router/peers/TextFormats.java
+++ b/router/src/test/java/io/heatherloft/router/peers/TextFormats.java
@@ -44,6 +44,11 @@
         return "op/config";
     }
 
+    @Override
+    public String evacuationPrefix() {
+        return "op/evacuate/";
+    }
+
     @Override
     public String rolloutOrderPrefix() {
         return "op/rollout/";
@@ -99,7 +104,8 @@
                 words[0],
                 64,
                 words[1].equals("draining"),
-                Long.parseLong(words[2]));
+                Long.parseLong(words[2]),
+                0L);
     }
 
     @Override
