--- a/entry/src/main/java/io/heatherloft/entry/EntryHost.java
+++ b/entry/src/main/java/io/heatherloft/entry/EntryHost.java
@@ -53,6 +53,11 @@
     private static final int WATCHES_PER_CHANGE_DEADLINE = 8;
     private static final long MIN_WATCH_INTERVAL_MILLIS = 100L;
     private static final long MAX_WATCH_INTERVAL_MILLIS = 500L;
+    // Calls to the store are charged for. In a larger fleet each host asks less often, since hosts tell each other what
+    // they
+    // read; a change still reaches a host that hears nothing from others in a third of its deadline.
+    private static final long WATCH_INTERVAL_MILLIS_PER_HOST = 15L;
+    private static final int MIN_WATCHES_PER_CHANGE_DEADLINE = 3;
     // The load balancer checks readiness every second and removes a host after two failed checks.
     private static final long BALANCER_NOTICE_MILLIS = 2_500L;
     // Requests still in progress this long before the end of the grace period are cut off, so that callers of streams
@@ -97,15 +102,16 @@
         MetricRegistry metrics = new MetricRegistry();
         this.log = new DecisionLog(loop, settings.hostName(), metrics, logQueue::offer);
         BackendConnectionPool storePool = new BackendConnectionPool(group, loop, ConnectionPoolSettings.DEFAULT);
+        this.reports = new HostReports(loop, settings.hostName());
         PlatformStore store = new PlatformStore(
                 loop,
                 new PlatformHttpClient(loop, storePool, new BackendEndpoint("store", settings.storeAddress())),
-                watchIntervalMillis(settings));
+                () -> watchIntervalMillis(settings, reports.hostCount()),
+                new Random());
         PlatformFormats formats = new PlatformFormats();
         BackendRegistry registry = new BackendRegistry(loop, log);
         VersionPolicies versions = new VersionPolicies(loop, new SessionVersions(settings.sessionIdleTimeoutMillis()));
         this.fleetView = new FleetView(loop, store, formats, registry, versions, log, metrics, new Random());
-        this.reports = new HostReports(loop, settings.hostName());
         this.rollouts = new RolloutController(
                 loop, store, formats, versions, log, fleetView::storeEra, reports::writeDelayMillis);
         this.crashRecorder =
@@ -177,9 +183,11 @@
                 .with("reason", lost ? "other hosts reach servers that this host does not" : "connected directly"));
     }
 
-    private static long watchIntervalMillis(PlatformSettings settings) {
+    static long watchIntervalMillis(PlatformSettings settings, int hostCount) {
         long intervalMillis = settings.changeDeadlineMillis() / WATCHES_PER_CHANGE_DEADLINE;
-        return Math.max(MIN_WATCH_INTERVAL_MILLIS, Math.min(MAX_WATCH_INTERVAL_MILLIS, intervalMillis));
+        long fewHostsMillis = Math.max(MIN_WATCH_INTERVAL_MILLIS, Math.min(MAX_WATCH_INTERVAL_MILLIS, intervalMillis));
+        long longestMillis = settings.changeDeadlineMillis() / MIN_WATCHES_PER_CHANGE_DEADLINE;
+        return Math.max(fewHostsMillis, Math.min(longestMillis, WATCH_INTERVAL_MILLIS_PER_HOST * hostCount));
     }
 
     private static EngineSettings engineSettings(PlatformSettings settings) {
