--- a/router/src/main/java/io/heatherloft/router/peers/FleetGossip.java
+++ b/router/src/main/java/io/heatherloft/router/peers/FleetGossip.java
@@ -24,6 +24,7 @@
 import io.heatherloft.router.fleet.PrefixReplica;
 import io.heatherloft.router.fleet.VersionPolicies;
 import io.heatherloft.router.log.DecisionLog;
+import java.util.Collection;
 import java.util.List;
 import java.util.Optional;
 import java.util.Random;
@@ -44,6 +45,11 @@
     private static final long SHORT_ROUND_MILLIS = 100L;
     private static final long ROUND_MILLIS_PER_HOST = 8L;
     private static final int REPORTS_PER_MESSAGE = 16;
+    // Traffic between availability zones is charged for. In larger fleets most rounds stay within the zone, and the
+    // others spread
+    // news to other zones.
+    private static final int LARGE_FLEET_HOSTS = 24;
+    private static final double SAME_ZONE_SHARE = 0.75;
     private static final int REPORTS_PER_MESSAGE_IN_SHORT_ROUNDS = 2;
     // Limits the size of a report to a few hundred bytes; requests that crash servers are rare.
     private static final int CRASHES_PER_REPORT = 12;
@@ -141,13 +147,21 @@
 
     // Seeds are contacted occasionally even when hosts are alive, so that the two sides of a partition reconnect.
     private Optional<String> choosePeer() {
+        Collection<HostReport> alive = reports.alive();
+        List<String> sameZone = alive.size() >= LARGE_FLEET_HOSTS && random.nextDouble() < SAME_ZONE_SHARE
+                ? alive.stream()
+                        .filter(reports::isInOwnZone)
+                        .map(HostReport::getAddress)
+                        .toList()
+                : List.of();
+        if (!sameZone.isEmpty()) {
+            return Optional.of(sameZone.get(random.nextInt(sameZone.size())));
+        }
         List<String> candidates = Stream.concat(
-                        reports.alive().stream().map(HostReport::getAddress),
-                        reports.alive().isEmpty()
+                        alive.stream().map(HostReport::getAddress),
+                        alive.isEmpty()
                                 ? Stream.concat(reports.known().stream().map(HostReport::getAddress), seeds.stream())
-                                : seeds.stream()
-                                        .filter(_seed ->
-                                                random.nextInt(reports.alive().size() + 1) == 0))
+                                : seeds.stream().filter(_seed -> random.nextInt(alive.size() + 1) == 0))
                 .distinct()
                 .toList();
         return candidates.isEmpty() ? Optional.empty() : Optional.of(candidates.get(random.nextInt(candidates.size())));
--- a/router/src/main/java/io/heatherloft/router/peers/HostReports.java
+++ b/router/src/main/java/io/heatherloft/router/peers/HostReports.java
@@ -26,6 +26,8 @@
     private static final long MAX_ALIVE_AGE_MILLIS = 3_000L;
     // Load figures older than this are outdated and not used.
     private static final long MAX_LOAD_AGE_MILLIS = 1_500L;
+    // Much shorter than the time in which reports change.
+    private static final long LOADS_CACHE_MILLIS = 20L;
     // A host that sent no report for this time is no longer contacted or counted.
     private static final long MAX_KNOWN_AGE_MILLIS = 60_000L;
 
@@ -39,6 +41,8 @@
     private final Random random;
     private final Map<String, ReceivedReport> byHost = new HashMap<>();
     private final ServerNotices serverNotices;
+    private Loads loads = new Loads(Map.of(), 1);
+    private long loadsAtMillis = Long.MIN_VALUE / 2;
     private String ownZone = "";
     private String ownRelayAddress = "";
     private BooleanSupplier ownCutOff = () -> false;
@@ -81,9 +85,8 @@
                 .filter(report -> !report.getCutOff() && !report.getStopping())
                 .toList());
         Collections.shuffle(offers, random);
-        Map<Boolean, List<HostReport>> byNearness = offers.stream()
-                .collect(Collectors.partitioningBy(
-                        report -> report.getAvailabilityZone().equals(ownZone)));
+        Map<Boolean, List<HostReport>> byNearness =
+                offers.stream().collect(Collectors.partitioningBy(this::isInOwnZone));
         return Stream.of(
                         byNearness.get(true).stream().limit(1),
                         byNearness.get(false).stream().limit(1),
@@ -125,6 +128,11 @@
         return youngerThan(MAX_ALIVE_AGE_MILLIS);
     }
 
+    /** Returns true if a host is in the availability zone of this one. */
+    boolean isInOwnZone(HostReport report) {
+        return report.getAvailabilityZone().equals(ownZone);
+    }
+
     /** Returns the newest reports of the hosts that reported in the last minute. */
     Collection<HostReport> known() {
         return youngerThan(MAX_KNOWN_AGE_MILLIS);
@@ -155,16 +163,40 @@
         return Math.min(MAX_WRITE_TURNS, before) * WRITE_STEP_MILLIS;
     }
 
-    /** Returns the number of requests in progress on each backend server, summed over recent reports of other hosts. */
-    public Map<String, Integer> outstandingByBackend() {
-        Map<String, Integer> loads = new HashMap<>();
-        byHost.values().stream()
-                .filter(received -> ageOf(received) < MAX_LOAD_AGE_MILLIS)
-                .flatMap(received -> received.report().getLoadsList().stream())
-                .forEach(load -> loads.merge(load.getBackendId(), load.getOutstanding(), Integer::sum));
+    /**
+     * Requests in progress on backend servers, as other hosts reported them.
+     *
+     * @param outstanding number of requests by server ID, summed over recent reports
+     * @param extrapolation number of other hosts that are alive, by the number of those whose reports are recent
+     */
+    public record Loads(Map<String, Integer> outstanding, double extrapolation) {}
+
+    /** Returns the loads in recent reports of other hosts. */
+    public Loads loads() {
+        // Each request asks for them once or more, and summing them up takes longer than all else that a choice needs.
+        if (loop.nowMillis() - loadsAtMillis >= LOADS_CACHE_MILLIS) {
+            loads = sumLoads();
+            loadsAtMillis = loop.nowMillis();
+        }
         return loads;
     }
 
+    private Loads sumLoads() {
+        Map<String, Integer> outstanding = new HashMap<>();
+        int recent = 0;
+        int alive = 0;
+        for (ReceivedReport received : byHost.values()) {
+            alive += ageOf(received) < MAX_ALIVE_AGE_MILLIS ? 1 : 0;
+            if (ageOf(received) < MAX_LOAD_AGE_MILLIS) {
+                recent++;
+                received.report()
+                        .getLoadsList()
+                        .forEach(load -> outstanding.merge(load.getBackendId(), load.getOutstanding(), Integer::sum));
+            }
+        }
+        return new Loads(outstanding, recent == 0 ? 1 : (double) alive / recent);
+    }
+
     private List<HostReport> youngerThan(long limitMillis) {
         return byHost.values().stream()
                 .filter(received -> ageOf(received) < limitMillis)
--- a/router/src/main/java/io/heatherloft/router/request/AttemptBackendSelector.java
+++ b/router/src/main/java/io/heatherloft/router/request/AttemptBackendSelector.java
@@ -52,6 +52,23 @@
         return isAtRest(servers) ? RefusalReason.SERVERS_AT_REST : RefusalReason.SERVERS_AT_LIMIT;
     }
 
+    /**
+     * Returns the requests in progress on a service per slot of its servers, as far as known to this host: its own and those in
+     * recent reports, extrapolated to the hosts whose reports are older. 1 if the service has no server.
+     */
+    double load(String service) {
+        List<BackendServerState> servers = usable(service);
+        HostReports.Loads reported = hostReports.loads();
+        double slots = 0;
+        double inProgress = 0;
+        for (BackendServerState server : servers) {
+            slots += server.entry().slots();
+            inProgress += server.outstanding()
+                    + reported.outstanding().getOrDefault(server.entry().id(), 0) * reported.extrapolation();
+        }
+        return slots == 0 ? 1 : inProgress / slots;
+    }
+
     private List<BackendServerState> usable(String service) {
         return hostReports.serverNotices().staying(registry.ready(service));
     }
@@ -103,7 +120,7 @@
         List<BackendServerState> healthy = untried.stream()
                 .filter(server -> server.health().isAvailable(now))
                 .toList();
-        Map<String, Integer> otherLoads = hostReports.outstandingByBackend();
+        Map<String, Integer> otherLoads = hostReports.loads().outstanding();
         return Stream.of(healthy, untried, eligible)
                 .filter(servers -> !servers.isEmpty())
                 .findFirst()
--- a/router/src/main/java/io/heatherloft/router/request/ModelCascade.java
+++ b/router/src/main/java/io/heatherloft/router/request/ModelCascade.java
@@ -1,18 +1,17 @@
 package io.heatherloft.router.request;
 
+import io.heatherloft.domain.route.ModelSizePolicy;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalInt;
 
 /**
- * Selects the model for a request: the smallest first, then the largest if the response has low confidence.
+ * Selects the model for a request: the largest if the service has capacity for it, else the smallest first and then the largest
+ * if the response has low confidence.
  *
  * <p>Confined to the loop's thread.
  */
 final class ModelCascade {
-    // Confidence, from 0 to 100, at which a response is as likely correct as incorrect.
-    private static final int MIN_CONFIDENCE = 50;
-
     private final List<String> models;
     private int currentIndex;
 
@@ -25,6 +24,13 @@
         this.models = models;
     }
 
+    /** Selects the first model; called before the first send, with the load of the service and the request's priority. */
+    void begin(double load, int priority) {
+        if (hasLargerModel() && ModelSizePolicy.startsWithLargest(load, priority)) {
+            escalate();
+        }
+    }
+
     /** Returns the current model; empty if the caller specifies the model. */
     Optional<String> currentModel() {
         return models.isEmpty() ? Optional.empty() : Optional.of(models.get(currentIndex));
@@ -35,9 +41,9 @@
         return currentIndex + 1 < models.size();
     }
 
-    /** Returns true if a response with this confidence is kept; a missing confidence counts as 0. */
-    boolean isSufficient(OptionalInt confidence) {
-        return confidence.orElse(0) >= MIN_CONFIDENCE;
+    /** Returns true if a response with this confidence is kept at a load; a missing confidence counts as 0. */
+    boolean isSufficient(OptionalInt confidence, double load) {
+        return confidence.orElse(0) >= ModelSizePolicy.minConfidence(load);
     }
 
     /** Switches to the largest model. */
--- a/router/src/main/java/io/heatherloft/router/request/RequestExecution.java
+++ b/router/src/main/java/io/heatherloft/router/request/RequestExecution.java
@@ -77,6 +77,9 @@
     void start() {
         exchange.setListener(this);
         deadlineTimer = engine.loop().schedule(deadlineAtMillis - engine.loop().nowMillis(), this::onDeadline);
+        if (cascade.hasLargerModel()) {
+            cascade.begin(engine.backendSelector().load(service), priority());
+        }
         dispatch();
     }
 
@@ -159,10 +162,11 @@
     }
 
     private OptionalInt urgency() {
-        return route.repeatPolicy().isStream()
-                ? OptionalInt.of(
-                        keyHolder.map(holder -> holder.priorityOn(route)).orElseGet(route::priority))
-                : OptionalInt.empty();
+        return route.repeatPolicy().isStream() ? OptionalInt.of(priority()) : OptionalInt.empty();
+    }
+
+    private int priority() {
+        return keyHolder.map(holder -> holder.priorityOn(route)).orElseGet(route::priority);
     }
 
     /**
@@ -174,7 +178,8 @@
         if (!isCurrent(running) || streamStarted || !cascade.hasLargerModel()) {
             return true;
         }
-        boolean sufficient = cascade.isSufficient(confidence);
+        boolean sufficient =
+                cascade.isSufficient(confidence, engine.backendSelector().load(service));
         engine.log().request("confidence", metadata.attemptId().orElse(""), line -> line.with("route", route.name())
                 .with("model", cascade.currentModel().orElse(""))
                 .with("prompt_tokens", metadata.promptTokens())
--- a/router/src/test/java/io/heatherloft/router/peers/HostReportsTest.java
+++ b/router/src/test/java/io/heatherloft/router/peers/HostReportsTest.java
@@ -67,7 +67,7 @@
             Map<String, Integer> expected = new HashMap<>();
             newest.values()
                     .forEach(reported -> reported.forEach((id, count) -> expected.merge(id, count, Integer::sum)));
-            assertThat(reports.outstandingByBackend()).isEqualTo(expected);
+            assertThat(reports.loads().outstanding()).isEqualTo(expected);
         }
 
         @Test
@@ -78,9 +78,9 @@
                     .setSequence(1)
                     .addLoads(BackendLoad.newBuilder().setBackendId("i1").setOutstanding(4))
                     .build());
-            assertThat(reports.outstandingByBackend()).containsExactly("i1", 4);
+            assertThat(reports.loads().outstanding()).containsExactly("i1", 4);
             loop.now += 1_500;
-            assertThat(reports.outstandingByBackend()).isEmpty();
+            assertThat(reports.loads().outstanding()).isEmpty();
         }
     }
 
