Hosts follow orders to evacuate an availability zone

Cause: the key op/evacuate/ZONE was replicated to every host and read by none.

Change: FleetView hands the key to EvacuatedZones, which BackendRegistry owns. AttemptBackendSelector excludes the servers of evacuated zones from every selection and names ZONE_EVACUATED if a service has no others. The connection pool closes idle connections to them, and the relay does not connect to them. A host that learns of earlier changes settles them by its own timers, also if it started after the restore.

--- a/entry/src/main/java/io/heatherloft/entry/EntryHost.java
+++ b/entry/src/main/java/io/heatherloft/entry/EntryHost.java
@@ -139,7 +139,14 @@
         backendPool.useOtherHosts(() -> reports.relayAddresses(relayOrder), lost -> onServerLinks(lost, registry));
         this.relayServer = backendPool.newRelayServer(endpoint -> registry.find(endpoint.id())
                 .filter(server -> server.endpoint().equals(endpoint))
+                .filter(server -> !registry.evacuatedZones().contains(server))
                 .isPresent());
+        backendPool.keepIdleIf(endpoint -> registry.find(endpoint.id())
+                .filter(registry.evacuatedZones()::contains)
+                .isEmpty());
+        registry.evacuatedZones().addBeginListener(zone -> registry.inZone(zone)
+                .forEach(server -> backendPool.closeIdle(server.entry().id())));
+        metrics.gauge("zones_evacuated", () -> registry.evacuatedZones()::count);
         metrics.gauge("backend_connections_relayed", () -> backendPool::relayed);
         metrics.gauge("backend_links_lost", () -> () -> backendPool.isCutOff() ? 1 : 0);
         metrics.gauge("backend_connections_opened", () -> backendPool::opened);
--- a/router/src/main/java/io/heatherloft/router/backend/BackendConnectionPool.java
+++ b/router/src/main/java/io/heatherloft/router/backend/BackendConnectionPool.java
@@ -64,6 +64,7 @@
     private RelayClient relay;
     private Consumer<Boolean> linkListener = _lost -> {};
     private Consumer<String> unsolicitedListener = _serverId -> {};
+    private Predicate<BackendEndpoint> mayStayIdle = _endpoint -> true;
     private long lastReceivedMillis;
     private long nextQuietProbeMillis;
     private boolean cutOff;
@@ -120,6 +121,11 @@
         unsolicitedListener = listener;
     }
 
+    /** Sets which connections are kept once their exchange has ended; the others are closed then. */
+    public void keepIdleIf(Predicate<BackendEndpoint> newMayStayIdle) {
+        mayStayIdle = newMayStayIdle;
+    }
+
     /** Creates a server that connects other hosts to the servers of which {@code isKnown} returns true. */
     public RelayServer newRelayServer(Predicate<BackendEndpoint> isKnown) {
         return new RelayServer(bootstrap.config().group(), bootstrap, addresses, isKnown, this::isCutOff);
@@ -406,6 +412,10 @@
     }
 
     void release(BackendConnection connection) {
+        if (!mayStayIdle.test(connection.endpoint())) {
+            connection.close();
+            return;
+        }
         idle.computeIfAbsent(connection.endpoint(), _endpoint -> new ArrayDeque<>())
                 .addFirst(connection);
     }
--- a/router/src/main/java/io/heatherloft/router/fleet/BackendRegistry.java
+++ b/router/src/main/java/io/heatherloft/router/fleet/BackendRegistry.java
@@ -21,12 +21,14 @@
     private final Map<String, BackendServerState> servers = new HashMap<>();
     private final CrashingRequests crashingRequests;
     private final CrashingPrompts crashingPrompts;
+    private final EvacuatedZones evacuatedZones;
 
     /** Creates an empty registry. */
     public BackendRegistry(Loop loop, DecisionLog log) {
         this.log = log;
         this.crashingRequests = new CrashingRequests(loop, log);
         this.crashingPrompts = new CrashingPrompts(loop, log);
+        this.evacuatedZones = new EvacuatedZones(loop, log);
     }
 
     /** Adds or updates a server. */
@@ -83,6 +85,30 @@
         return crashingPrompts;
     }
 
+    /** Returns the zones to which no request may be sent. */
+    public EvacuatedZones evacuatedZones() {
+        return evacuatedZones;
+    }
+
+    /** Evacuates a zone; returns the number of known servers in it. */
+    long evacuate(String zone, StoreRevision revision) {
+        long zoneServers = inZone(zone).size();
+        evacuatedZones.begin(zone, zoneServers, revision);
+        return zoneServers;
+    }
+
+    /** Ends the evacuation of a zone. */
+    void endEvacuation(String zone, StoreRevision revision) {
+        evacuatedZones.end(zone, inZone(zone).size(), revision);
+    }
+
+    /** Returns the servers of a zone. */
+    public List<BackendServerState> inZone(String zone) {
+        return servers.values().stream()
+                .filter(server -> server.entry().availabilityZone().equals(zone))
+                .toList();
+    }
+
     /** Returns the server with an ID. */
     public Optional<BackendServerState> find(String id) {
         return Optional.ofNullable(servers.get(id));
--- a/router/src/main/java/io/heatherloft/router/fleet/FleetView.java
+++ b/router/src/main/java/io/heatherloft/router/fleet/FleetView.java
@@ -193,6 +193,7 @@
             } else {
                 deliver(change);
             }
+            prefix.scheduleSettling();
         }
     }
 
@@ -255,7 +256,8 @@
             read(value);
             unreadableValues.onRead(value.key());
         } catch (UnreadableValueException | RuntimeException | StackOverflowError exception) {
-            unreadableValues.onUnreadable(value, exception);
+            unreadableValues.onUnreadable(
+                    value, exception, evacuatedZone(value.key()).isPresent() ? "order_in_force" : "ignored");
             if (value.key().startsWith(formats.backendPrefix())) {
                 registry.withdraw(backendId(value.key()), value.revision());
             }
@@ -272,6 +274,8 @@
             onConfiguration(formats.readConfiguration(value.value()), value.revision());
         } else if (key.startsWith(formats.rolloutOrderPrefix())) {
             onRolloutOrder(key.substring(formats.rolloutOrderPrefix().length()), value);
+        } else if (key.startsWith(formats.evacuationPrefix())) {
+            onEvacuation(value);
         } else if (key.startsWith(formats.rolloutStatePrefix())) {
             onRolloutState(key.substring(formats.rolloutStatePrefix().length()), value);
         } else if (key.startsWith(formats.rolloutProgressPrefix())) {
@@ -310,6 +314,24 @@
                 .with("outcome", "known"));
     }
 
+    // The zone is in the key, so the order holds whatever the value is.
+    private void onEvacuation(StoreValue value) throws UnreadableValueException {
+        String zone = evacuatedZone(value.key())
+                .orElseThrow(() -> new UnreadableValueException("key: expected the name of a zone at the end"));
+        long servers = registry.evacuate(zone, value.revision());
+        formats.checkEvacuation(value.value());
+        if (servers == 0 && backendsListed) {
+            throw new UnreadableValueException("key: expected a zone with servers");
+        }
+    }
+
+    private Optional<String> evacuatedZone(String key) {
+        String prefix = formats.evacuationPrefix();
+        return key.startsWith(prefix) && key.length() > prefix.length()
+                ? Optional.of(key.substring(prefix.length()))
+                : Optional.empty();
+    }
+
     private void onRolloutState(String service, StoreValue value) throws UnreadableValueException {
         versions.onState(formats.readRolloutState(service, value.value()), value.revision());
         log.stateChange("rollout_state", line -> line.with("service", service)
@@ -332,6 +354,7 @@
 
     private void onDelete(String key, StoreRevision revision) {
         unreadableValues.onRead(key);
+        evacuatedZone(key).ifPresent(zone -> registry.endEvacuation(zone, revision));
         if (key.startsWith(formats.rolloutOrderPrefix())) {
             versions.of(key.substring(formats.rolloutOrderPrefix().length())).onOrderRemoved();
         } else if (key.startsWith(formats.rolloutStatePrefix())) {
@@ -375,6 +398,7 @@
         private long eraBeganMillis = Long.MIN_VALUE / 2;
         private long lastNumberBeforeEra;
         private boolean restored;
+        private boolean settlingScheduled;
 
         WatchedPrefix(KeyValueStore store, String prefix) {
             this.replica = new PrefixReplica(prefix);
@@ -398,11 +422,20 @@
             doubtfulKeys.clear();
             replica.beginEra(era);
             eraBeganMillis = loop.nowMillis();
+            settlingScheduled = false;
             if (restored) {
+                scheduleSettling();
+            }
+            return restored;
+        }
+
+        /** Schedules when earlier changes cease to hold, also on a host that started after the restore. */
+        void scheduleSettling() {
+            if (!settlingScheduled) {
+                settlingScheduled = true;
                 RestorePolicy.SETTLING_MILLIS.forEach(
                         millis -> loop.schedule(millis + TIMER_MARGIN_MILLIS, this::settleEarlierChanges));
             }
-            return restored;
         }
 
         /** Returns true if the store was restored not long ago, so that other hosts may not know of it. */
--- a/router/src/main/java/io/heatherloft/router/fleet/RestorePolicy.java
+++ b/router/src/main/java/io/heatherloft/router/fleet/RestorePolicy.java
@@ -49,6 +49,8 @@
             return isNewerConfiguration(earlier, current);
         } else if (key.startsWith(formats.rolloutOrderPrefix())) {
             return isLostOrder(earlier, current, eraAgeMillis);
+        } else if (key.startsWith(formats.evacuationPrefix())) {
+            return isEvacuationUnchanged(earlier, current, eraAgeMillis);
         } else if (key.startsWith(formats.backendPrefix())) {
             return isNewerBackend(earlier, current, eraAgeMillis);
         }
@@ -88,6 +90,13 @@
                 .orElseGet(() -> !earlier.deleted());
     }
 
+    // A revocation is kept while the store has no such key, so that a host that missed it learns of it and does not
+    // spread
+    // the evacuation anew.
+    private static boolean isEvacuationUnchanged(Change earlier, Optional<Change> current, long eraAgeMillis) {
+        return current.isEmpty() || isLostOrder(earlier, current, eraAgeMillis);
+    }
+
     private boolean isNewerBackend(Change earlier, Optional<Change> current, long eraAgeMillis) {
         Optional<BackendRegistration> before = readBackend(earlier);
         Optional<BackendRegistration> now = current.flatMap(this::readBackend);
--- a/router/src/main/java/io/heatherloft/router/fleet/StoredFormats.java
+++ b/router/src/main/java/io/heatherloft/router/fleet/StoredFormats.java
@@ -41,6 +41,9 @@
     /** Parses the entry of a backend server. */
     BackendRegistration readBackend(String id, Bytes value) throws UnreadableValueException;
 
+    /** Checks the value of an order to evacuate a zone, which holds no data. */
+    void checkEvacuation(Bytes value) throws UnreadableValueException;
+
     /** Parses a rollout order. */
     RolloutOrder readRolloutOrder(String service, Bytes value) throws UnreadableValueException;
 
--- a/router/src/main/java/io/heatherloft/router/fleet/UnreadableValues.java
+++ b/router/src/main/java/io/heatherloft/router/fleet/UnreadableValues.java
@@ -29,8 +29,12 @@
         reasons.remove(key);
     }
 
-    /** Called when a value could not be read. */
-    void onUnreadable(StoreValue value, Throwable failure) {
+    /**
+     * Called when a value could not be read.
+     *
+     * @param outcome what was ignored, for the log
+     */
+    void onUnreadable(StoreValue value, Throwable failure, String outcome) {
         counter.inc();
         String reason = failure instanceof UnreadableValueException ? failure.getMessage() : failure.toString();
         if (reason.equals(reasons.put(value.key(), reason))) {
@@ -39,6 +43,6 @@
         log.stateChange("stored_value", line -> line.with("key", value.key())
                 .with("revision", value.revision().number())
                 .with("reason", reason)
-                .with("outcome", "ignored"));
+                .with("outcome", outcome));
     }
 }
--- a/router/src/main/java/io/heatherloft/router/request/AttemptBackendSelector.java
+++ b/router/src/main/java/io/heatherloft/router/request/AttemptBackendSelector.java
@@ -47,12 +47,18 @@
     RefusalReason reasonForNoServer(String service) {
         List<BackendServerState> servers = usable(service);
         if (servers.isEmpty()) {
-            return RefusalReason.NO_BACKEND;
+            return staying(service).isEmpty() ? RefusalReason.NO_BACKEND : RefusalReason.ZONE_EVACUATED;
         }
         return isAtRest(servers) ? RefusalReason.SERVERS_AT_REST : RefusalReason.SERVERS_AT_LIMIT;
     }
 
     private List<BackendServerState> usable(String service) {
+        return staying(service).stream()
+                .filter(server -> !registry.evacuatedZones().contains(server))
+                .toList();
+    }
+
+    private List<BackendServerState> staying(String service) {
         return hostReports.serverNotices().staying(registry.ready(service));
     }
 
--- a/router/src/main/java/io/heatherloft/router/request/RefusalReason.java
+++ b/router/src/main/java/io/heatherloft/router/request/RefusalReason.java
@@ -17,6 +17,8 @@
     NO_IDENTITY(400, 0),
     /** The service has no usable backend server. */
     NO_BACKEND(503, 0.5),
+    /** All backend servers of the service are in availability zones that an operator has evacuated. */
+    ZONE_EVACUATED(503, 1),
     /** All backend servers have named limits, and this host's share of them is used up. */
     SERVERS_AT_LIMIT(503, 1),
     /** All backend servers of the service have asked this host for rest; the delay depends on them. */
--- a/router/src/test/java/io/heatherloft/router/peers/TextFormats.java
+++ b/router/src/test/java/io/heatherloft/router/peers/TextFormats.java
@@ -30,6 +30,10 @@
         return String.valueOf(version);
     }
 
+    static String backend(String version, String zone) {
+        return version + " ready 1 " + zone;
+    }
+
     static String backend(String version, boolean draining, long sequence) {
         return version + ' ' + (draining ? "draining" : "ready") + ' ' + sequence;
     }
@@ -92,15 +96,15 @@
     @Override
     public BackendRegistration readBackend(String id, Bytes value) throws UnreadableValueException {
         String[] words = value.toText().split(" ", -1);
-        if (words.length != 3) {
-            throw new UnreadableValueException("expected three words");
+        if (words.length != 3 && words.length != 4) {
+            throw new UnreadableValueException("expected three words, or four with a zone");
         }
         return new BackendRegistration(
                 id,
                 1L,
                 SERVICE,
                 "127.0.0.1:1",
-                "a",
+                words.length == 4 ? words[3] : "a",
                 words[0],
                 64,
                 words[1].equals("draining"),
@@ -108,6 +112,13 @@
                 0L);
     }
 
+    @Override
+    public void checkEvacuation(Bytes value) throws UnreadableValueException {
+        if (!value.toText().equals("{}")) {
+            throw new UnreadableValueException("expected {}");
+        }
+    }
+
     @Override
     public RolloutOrder readRolloutOrder(String service, Bytes value) {
         return new RolloutOrder(service, value.toText(), rolloutMillis);
