--- a/entry/src/main/java/io/heatherloft/entry/EntryHost.java
+++ b/entry/src/main/java/io/heatherloft/entry/EntryHost.java
@@ -85,6 +85,7 @@
     private final HostReports reports;
     private final BackendConnectionPool backendPool;
     private final RelayServer relayServer;
+    private String relayAddress = "";
     private boolean stopping;
 
     private EntryHost(
@@ -232,11 +233,11 @@
             host.listen(host.readinessServer, settings.readinessAddress()).join();
             host.listen(host.metricsServer, settings.ipAddress() + ":" + metricsPort)
                     .join();
-            String relayAddress = host.relayServer
+            host.relayAddress = host.relayServer
                     .listen(settings.ipAddress(), settings.relayPort())
                     .join();
-            host.loop.execute(() ->
-                    host.reports.offerRelay(settings.availabilityZone(), relayAddress, host.backendPool::isCutOff));
+            host.loop.execute(() -> host.reports.offerRelay(
+                    settings.availabilityZone(), host.relayAddress, host.backendPool::isCutOff));
             settings.peerAddress()
                     .ifPresent(address -> new NettyPeerServer(
                             host.group, SocketAddresses.parse(address), host.loop, host.peerTraffic, host.gossip));
@@ -268,6 +269,11 @@
         return readinessServer.port();
     }
 
+    /** Returns the address at which this host connects other hosts to backend servers. */
+    String relayAddress() {
+        return relayAddress;
+    }
+
     /** Returns the port at which the metrics are served. */
     int metricsPort() {
         return metricsServer.port();
--- a/entry/src/test/java/io/heatherloft/entry/ServerLinks.java
+++ b/entry/src/test/java/io/heatherloft/entry/ServerLinks.java
@@ -27,6 +27,7 @@
     private final Map<String, ServerSocket> listeners = new ConcurrentHashMap<>();
     private final List<Socket> sockets = new CopyOnWriteArrayList<>();
     private final AtomicInteger connections = new AtomicInteger();
+    private final AtomicInteger openConnections = new AtomicInteger();
     private final List<Socket> queued = new ArrayList<>();
     private ServerSocket unresponsive;
     private volatile Mode mode = Mode.UP;
@@ -72,6 +73,11 @@
         return connections.get();
     }
 
+    /** Returns the number of established connections that the host has not closed. */
+    int openConnections() {
+        return openConnections.get();
+    }
+
     // A full accept queue drops further attempts to connect.
     private synchronized InetSocketAddress unresponsiveAddress() throws IOException {
         if (unresponsive == null) {
@@ -101,7 +107,11 @@
                 connections.incrementAndGet();
                 sockets.add(near);
                 sockets.add(far);
-                startThread(() -> copy(near, far));
+                openConnections.incrementAndGet();
+                startThread(() -> {
+                    copy(near, far);
+                    openConnections.decrementAndGet();
+                });
                 startThread(() -> copy(far, near));
             }
         } catch (IOException _closed) {
--- a/router/src/main/java/io/heatherloft/router/backend/RelayReply.java
+++ b/router/src/main/java/io/heatherloft/router/backend/RelayReply.java
@@ -11,7 +11,7 @@
     REFUSED("refused"),
     /** No connection to the server could be established in time. */
     UNREACHABLE("unreachable"),
-    /** This host can't tell: it does not know the server, has no room, or is cut off itself. */
+    /** This host can't tell: it does not know the server or must not use it, has no room, or is cut off itself. */
     UNAVAILABLE("unavailable");
 
     private final String line;
--- a/router/src/main/java/io/heatherloft/router/backend/RelayServer.java
+++ b/router/src/main/java/io/heatherloft/router/backend/RelayServer.java
@@ -52,7 +52,7 @@
      *
      * @param serverBootstrap opens connections to backend servers
      * @param addresses returns the socket address for the address of a server
-     * @param isKnown returns true for a registered server
+     * @param isKnown returns true for a registered server to which other hosts may be connected
      * @param isCutOff returns true while this host cannot reach the servers either
      */
     public RelayServer(
--- a/router/src/main/java/io/heatherloft/router/fleet/FleetView.java
+++ b/router/src/main/java/io/heatherloft/router/fleet/FleetView.java
@@ -44,6 +44,7 @@
     private Optional<RoutingConfiguration> configuration = Optional.empty();
     private StoreRevision configurationRevision = StoreRevision.NONE;
     private boolean backendsListed;
+    private boolean started;
 
     /**
      * Creates a view that is empty until {@link #start}.
@@ -76,6 +77,7 @@
 
     /** Starts watching the store. */
     public void start() {
+        started = true;
         prefixes.forEach(prefix -> prefix.watcher.start());
     }
 
@@ -109,6 +111,11 @@
         return prefixes.stream().allMatch(prefix -> prefix.watcher.isReachable());
     }
 
+    /** Returns true if this host watches the store and cannot reach it, so that it learns of changes from other hosts only. */
+    public boolean isWithoutStore() {
+        return started && !isStoreReachable();
+    }
+
     /** Returns the newest era of the store that this host knows. */
     public long storeEra() {
         return replicas().stream().mapToLong(PrefixReplica::era).max().orElse(0);
--- a/router/src/main/java/io/heatherloft/router/peers/FleetGossip.java
+++ b/router/src/main/java/io/heatherloft/router/peers/FleetGossip.java
@@ -36,13 +36,16 @@
  * <p>In each round this host contacts a random other host, requests the store changes that it lacks and sends recent
  * reports. The interval between rounds grows with the number of hosts, so that the traffic per host stays constant;
  * while a rollout waits for the hosts to learn of it, the store was just restored, or a server has just crashed or named
- * a limit, rounds are short and carry few reports.
+ * a limit, rounds are short and carry few reports. A host that cannot reach the store learns of its changes in these rounds
+ * only, so they are at most {@link #MAX_ROUND_MILLIS_WITHOUT_STORE} apart there.
  * Confined to the loop's thread.
  */
 public final class FleetGossip implements PeerNetwork.Handler {
     private static final long MIN_ROUND_MILLIS = 200L;
     private static final long SHORT_ROUND_MILLIS = 100L;
     private static final long ROUND_MILLIS_PER_HOST = 8L;
+    // Half of the hosts may have lost the store; eight rounds are enough for all of them to learn of an order in 5 s.
+    private static final long MAX_ROUND_MILLIS_WITHOUT_STORE = 600L;
     private static final int REPORTS_PER_MESSAGE = 16;
     private static final int REPORTS_PER_MESSAGE_IN_SHORT_ROUNDS = 2;
     // Limits the size of a report to a few hundred bytes; requests that crash servers are rare.
@@ -118,14 +121,29 @@
     }
 
     private void runRoundIfDue() {
-        long roundMillis = Math.max(MIN_ROUND_MILLIS, ROUND_MILLIS_PER_HOST * reports.hostCount());
         // The timer fires a little late, so a round that is due within half of a period runs now.
-        boolean due = loop.nowMillis() + SHORT_ROUND_MILLIS / 2 >= lastRoundMillis + roundMillis;
+        boolean due = loop.nowMillis() + SHORT_ROUND_MILLIS / 2 >= lastRoundMillis + roundMillis();
         if (due || isUrgent()) {
             runRound();
         }
     }
 
+    private long roundMillis() {
+        return fleet.isWithoutStore() ? Math.min(fullRoundMillis(), MAX_ROUND_MILLIS_WITHOUT_STORE) : fullRoundMillis();
+    }
+
+    private long fullRoundMillis() {
+        return Math.max(MIN_ROUND_MILLIS, ROUND_MILLIS_PER_HOST * reports.hostCount());
+    }
+
+    // More frequent rounds carry fewer reports, so that the traffic of reports stays the same.
+    private int reportsPerMessage() {
+        return isUrgent()
+                ? REPORTS_PER_MESSAGE_IN_SHORT_ROUNDS
+                : Math.max(REPORTS_PER_MESSAGE_IN_SHORT_ROUNDS, (int)
+                        (REPORTS_PER_MESSAGE * roundMillis() / fullRoundMillis()));
+    }
+
     private boolean isUrgent() {
         return versions.isRolloutWaiting()
                 || fleet.isEraNew()
@@ -188,8 +206,7 @@
 
     private KnowledgeExchange newMessage(List<PrefixNews> requestedPrefixes, boolean crashesKnown) {
         KnowledgeExchange.Builder message = KnowledgeExchange.newBuilder().addReports(ownReport());
-        reports.newest(isUrgent() ? REPORTS_PER_MESSAGE_IN_SHORT_ROUNDS : REPORTS_PER_MESSAGE)
-                .forEach(message::addReports);
+        reports.newest(reportsPerMessage()).forEach(message::addReports);
         versions.retainedSessions()
                 .forEach(retained -> message.addRetained(RetainedSessionHashes.newBuilder()
                         .setService(retained.service())
--- a/router/src/main/java/io/heatherloft/router/request/RequestExecution.java
+++ b/router/src/main/java/io/heatherloft/router/request/RequestExecution.java
@@ -171,7 +171,7 @@
      * @return false if the response is discarded and the request has been sent to the largest model instead
      */
     boolean acceptsResponse(Attempt running, OptionalInt confidence) {
-        if (!isCurrent(running) || streamStarted || !cascade.hasLargerModel()) {
+        if (!isCurrent(running) || streamStarted || !cascade.hasLargerModel() || !hasServer()) {
             return true;
         }
         boolean sufficient = cascade.isSufficient(confidence);
@@ -237,7 +237,7 @@
      * @return true if the attempt was cancelled in favour of a retry; false if it continues
      */
     boolean tryRetryAfterInactivity(Attempt inactive) {
-        if (!isCurrent(inactive) || !mayRetry("silence")) {
+        if (!isCurrent(inactive) || !hasServer() || !mayRetry("silence")) {
             return false;
         }
         triedServers.add(inactive.server().entry());
@@ -260,7 +260,7 @@
         if (failed) {
             triedServers.addFailure(ending.server().entry());
         }
-        if (failed && route.repeatPolicy().mayRepeat() && mayRetry("status " + status)) {
+        if (failed && route.repeatPolicy().mayRepeat() && hasServer() && mayRetry("status " + status)) {
             body.release();
             dispatch();
         } else if (streamStarted || impliesNotExecuted(status)) {
@@ -301,6 +301,11 @@
         return !ended && attempt == candidate;
     }
 
+    // The response that has begun or arrived is not given up for a retry that no server may get.
+    private boolean hasServer() {
+        return engine.backendSelector().select(service, metadata, triedServers).isPresent();
+    }
+
     private boolean mayRetry(String reason) {
         return mayRetry(reason, RetryBudget::tryAcquire);
     }
--- a/router/src/test/java/io/heatherloft/router/backend/BackendConnectionPoolTest.java
+++ b/router/src/test/java/io/heatherloft/router/backend/BackendConnectionPoolTest.java
@@ -119,6 +119,24 @@
         }
     }
 
+    @Nested
+    final class AnExchange {
+        // A server in a zone that was evacuated while it ran a request kept an idle connection from then on.
+        @Test
+        void with_a_server_that_may_keep_none_closes_its_connection() throws IOException {
+            BackendEndpoint endpoint = server((socket, _number) -> {
+                while (true) {
+                    readRequest(socket);
+                    write(socket, HEAD + "Content-Length: 0\r\n\r\n");
+                }
+            });
+            pool.keepIdleIf(other -> !other.equals(endpoint));
+            assertThat(send(endpoint)).isEqualTo("complete: ");
+            assertThat(send(endpoint)).isEqualTo("complete: ");
+            assertThat(pool.opened()).isEqualTo(2);
+        }
+    }
+
     @Nested
     final class AResponse {
         @Test
--- a/soak/src/main/java/io/heatherloft/soak/SoakRun.java
+++ b/soak/src/main/java/io/heatherloft/soak/SoakRun.java
@@ -83,9 +83,10 @@
             checks.checkCrashingPrompt();
             checks.checkCrashingRequest();
             checks.checkServerLimit();
-            // Builds before this one do not read what leaving servers say.
+            // Builds before this one do not read what leaving servers say, and some do not follow evacuations.
             if (builds.size() == 1) {
                 checks.checkLeavingServer();
+                checks.checkEvacuatedZone();
             }
             for (HostProcess host : fleet.hosts()) {
                 int code = host.terminate();
--- a/soak/src/main/java/io/heatherloft/soak/TroubledServerChecks.java
+++ b/soak/src/main/java/io/heatherloft/soak/TroubledServerChecks.java
@@ -10,7 +10,8 @@
 import java.util.function.BooleanSupplier;
 
 /**
- * Checks how a calm fleet treats a prompt part and a request that crash servers, a server that names a limit, and one that leaves.
+ * Checks how a calm fleet treats a prompt part and a request that crash servers, a server that names a limit, one that leaves, and
+ * a zone that is evacuated.
  *
  * <p>Confined to one thread.
  */
@@ -24,6 +25,10 @@
     // The rule on limits: one and a half times the limit, and five requests, from 3 s after the first naming.
     private static final String LIMITED_SERVER = "desk-1";
     private static final String LEAVING_SERVER = "desk-2";
+    // The zone of all servers of the soak.
+    private static final String EVACUATION_KEY = "op/evacuate/a";
+    // The rule on evacuations: time after which nothing is sent to the zone.
+    private static final double EVACUATION_SECONDS = 5;
     private static final double LIMIT_PER_SECOND = 2;
     private static final double TOLERANCE_FACTOR = 1.5;
     private static final double TOLERATED_REQUESTS = 5;
@@ -192,6 +197,31 @@
         }
     }
 
+    /** Evacuates the zone of all servers, counts the requests that they get after some time, and takes the zone back. */
+    void checkEvacuatedZone() throws InterruptedException {
+        fleet.runOnLoop(() -> fleet.store().put(EVACUATION_KEY, "{}"));
+        double _learning = sendLookupsFor(EVACUATION_SECONDS);
+        int before = receivedByAll();
+        double _measured = sendLookupsFor(MEASURED_SECONDS);
+        if (receivedByAll() > before) {
+            checker.addFinding((receivedByAll() - before) + " requests reached an evacuated zone");
+        }
+        fleet.runOnLoop(() -> fleet.store().delete(EVACUATION_KEY));
+        double _returning = sendLookupsFor(EVACUATION_SECONDS);
+        for (String address : addresses) {
+            requests++;
+            SoakCaller.Exchange exchange = caller.sendLookup(String.valueOf(requests), address);
+            checker.onSent(exchange.request());
+            if (exchange.response() == null || exchange.response().status() != OK) {
+                checker.addFinding(address + ": does not use a zone that was taken back");
+            }
+        }
+    }
+
+    private int receivedByAll() {
+        return fleet.backends().keySet().stream().mapToInt(this::received).sum();
+    }
+
     private double sendLookupsFor(double seconds) throws InterruptedException {
         long startNanos = System.nanoTime();
         double elapsed = 0;
--- a/standins/src/main/java/io/heatherloft/standins/platform/PlatformFixtures.java
+++ b/standins/src/main/java/io/heatherloft/standins/platform/PlatformFixtures.java
@@ -53,6 +53,11 @@
         return backendEntry(service, port, version, state, 0);
     }
 
+    /** Returns the store entry of a ready backend server on the loopback address, in an availability zone. */
+    public static String backendEntryInZone(String service, int port, String version, String zone) {
+        return backendEntry(service, port, version).replace("\"zone\":\"a\"", "\"zone\":\"" + zone + '"');
+    }
+
     /**
      * Returns the store entry of a ready backend server on the loopback address.
      *
--- a/standins/src/main/java/io/heatherloft/standins/platform/RunnerStandIn.java
+++ b/standins/src/main/java/io/heatherloft/standins/platform/RunnerStandIn.java
@@ -44,6 +44,9 @@
     private OptionalDouble requestLimit = OptionalDouble.empty();
     private boolean leaving;
     private Optional<String> rest = Optional.empty();
+    private final List<Runnable> heldResponses = new ArrayList<>();
+    private boolean holding;
+    private int keepAliveSeconds = 5;
     private int callerDisconnects;
     private final Set<CallerExchange> openExchanges = new HashSet<>();
     private Predicate<CallerRequest> crashing = _request -> false;
@@ -118,6 +121,19 @@
         rest = retryAfter;
     }
 
+    /** Makes the server hold back all responses, or sends those that it held back. */
+    public void setHolding(boolean nowHolding) {
+        holding = nowHolding;
+        List<Runnable> released = holding ? List.of() : List.copyOf(heldResponses);
+        heldResponses.removeAll(released);
+        released.forEach(Runnable::run);
+    }
+
+    /** Sets the time for which the server says that it keeps idle connections open. */
+    public void setKeepAliveSeconds(int seconds) {
+        keepAliveSeconds = seconds;
+    }
+
     /** Changes the server's id, as a restart under a new id would; ends a crash. */
     public void restartAs(String newId) {
         id = newId;
@@ -204,7 +220,9 @@
                     Optional.ofNullable(request.headers().get("X-Tenant-Name")),
                     request.headers().contains("Authorization")));
         }
-        if (act == Act.DELAY) {
+        if (holding) {
+            heldResponses.add(() -> respond(request, exchange, act));
+        } else if (act == Act.DELAY) {
             loop.schedule(RESPONSE_DELAY_MILLIS, () -> respond(request, exchange, act));
         } else {
             respond(request, exchange, act);
@@ -217,7 +235,7 @@
                 PlatformFixtures.REQUEST_ID_HEADER,
                 act == Act.ANSWER_ANOTHER ? "other" : request.headers().get(PlatformFixtures.REQUEST_ID_HEADER, ""));
         headers.set("X-Runner-Id", id);
-        headers.set("Keep-Alive", "timeout=5");
+        headers.set("Keep-Alive", "timeout=" + keepAliveSeconds);
         if (leaving) {
             headers.set("Server-Leaving", "1");
         }
