--- a/entry/src/main/java/io/heatherloft/entry/EntryHost.java
+++ b/entry/src/main/java/io/heatherloft/entry/EntryHost.java
@@ -90,6 +90,7 @@
     private final HostReports reports;
     private final BackendConnectionPool backendPool;
     private final RelayServer relayServer;
+    private String relayAddress = "";
     private boolean stopping;
 
     private EntryHost(
@@ -145,7 +146,14 @@
         backendPool.useOtherHosts(() -> reports.relayAddresses(relayOrder), lost -> onServerLinks(lost, registry));
         this.relayServer = backendPool.newRelayServer(endpoint -> registry.find(endpoint.id())
                 .filter(server -> server.endpoint().equals(endpoint))
+                .filter(server -> !registry.evacuatedZones().contains(server))
                 .isPresent());
+        backendPool.keepIdleIf(endpoint -> registry.find(endpoint.id())
+                .filter(registry.evacuatedZones()::contains)
+                .isEmpty());
+        registry.evacuatedZones().addBeginListener(zone -> registry.inZone(zone)
+                .forEach(server -> backendPool.closeIdle(server.entry().id())));
+        metrics.gauge("zones_evacuated", () -> registry.evacuatedZones()::count);
         metrics.gauge("backend_connections_relayed", () -> backendPool::relayed);
         metrics.gauge("backend_links_lost", () -> () -> backendPool.isCutOff() ? 1 : 0);
         metrics.gauge("backend_connections_opened", () -> backendPool::opened);
@@ -233,11 +241,11 @@
             host.listen(host.readinessServer, settings.readinessAddress()).join();
             host.listen(host.metricsServer, settings.ipAddress() + ":" + metricsPort)
                     .join();
-            String relayAddress = host.relayServer
+            host.relayAddress = host.relayServer
                     .listen(settings.ipAddress(), settings.relayPort())
                     .join();
-            host.loop.execute(() ->
-                    host.reports.offerRelay(settings.availabilityZone(), relayAddress, host.backendPool::isCutOff));
+            host.loop.execute(() -> host.reports.offerRelay(
+                    settings.availabilityZone(), host.relayAddress, host.backendPool::isCutOff));
             settings.peerAddress()
                     .ifPresent(address -> new NettyPeerServer(
                             host.group, SocketAddresses.parse(address), host.loop, host.peerTraffic, host.gossip));
@@ -269,6 +277,11 @@
         return readinessServer.port();
     }
 
+    /** Returns the address at which this host connects other hosts to backend servers. */
+    String relayAddress() {
+        return relayAddress;
+    }
+
     /** Returns the port at which the metrics are served. */
     int metricsPort() {
         return metricsServer.port();
