Cold servers get requests from few hosts, by tokens

The cold time of a server was read and dropped, and all hosts together could send a server that had just started any number of requests. ColdServers decides which servers may be cold, which hosts may send to them and when; ColdServerGuard applies it where a server is selected and feeds it from entries, responses, failures and ends of evacuations. It is off without the bound in the settings and for services without a rate for cold servers. Not yet tested.

--- a/entry/src/main/java/io/heatherloft/entry/EntryHost.java
+++ b/entry/src/main/java/io/heatherloft/entry/EntryHost.java
@@ -26,6 +26,7 @@
 import io.heatherloft.router.http.CallerServer;
 import io.heatherloft.router.log.DecisionLog;
 import io.heatherloft.router.log.LineQueue;
+import io.heatherloft.router.peers.ColdServerGuard;
 import io.heatherloft.router.peers.FleetGossip;
 import io.heatherloft.router.peers.HostReports;
 import io.heatherloft.router.request.EngineSettings;
@@ -124,6 +125,17 @@
                 settings.peerAddress().orElse(""),
                 settings.seedAddresses());
         this.backendPool = new BackendConnectionPool(group, loop, ConnectionPoolSettings.DEFAULT, serverAddresses);
+        ColdServerGuard coldServers = new ColdServerGuard(
+                loop,
+                reports,
+                registry,
+                service -> fleetView.configuration().flatMap(configuration -> configuration.findService(service)),
+                settings.coldBound(),
+                settings.hostName(),
+                log,
+                metrics);
+        coldServers.useUpCheck(
+                server -> backendPool.checkUp(server.endpoint(), () -> coldServers.onConnected(server), () -> {}));
         this.engine = new RequestEngine(
                 loop,
                 fleetView,
@@ -132,11 +144,13 @@
                 registry,
                 versions,
                 reports,
+                coldServers,
                 engineSettings(settings),
                 log,
                 metrics);
         Random relayOrder = new Random();
-        backendPool.useOtherHosts(() -> reports.relayAddresses(relayOrder), lost -> onServerLinks(lost, registry));
+        backendPool.useOtherHosts(
+                () -> reports.relayAddresses(relayOrder), lost -> onServerLinks(lost, registry, coldServers));
         this.relayServer = backendPool.newRelayServer(endpoint -> registry.find(endpoint.id())
                 .filter(server -> server.endpoint().equals(endpoint))
                 .isPresent());
@@ -167,10 +181,11 @@
                 new CallerServer(group, loop, () -> CallerLimits.DEFAULT, new MetricsHandler(metrics), _status -> {});
     }
 
-    private void onServerLinks(boolean lost, BackendRegistry registry) {
+    private void onServerLinks(boolean lost, BackendRegistry registry, ColdServerGuard coldServers) {
         if (lost) {
             // The failures were those of this host's links.
             registry.all().forEach(server -> server.health().forgetFailures());
+            coldServers.forgetFailures();
         }
         log.lifecycle(lost ? "dependency_lost" : "dependency_regained", line -> line.with(
                         "dependency", "backend_servers")
--- a/router/src/main/java/io/heatherloft/router/backend/BackendConnectionPool.java
+++ b/router/src/main/java/io/heatherloft/router/backend/BackendConnectionPool.java
@@ -152,6 +152,11 @@
      * other hosts too. Does nothing while an earlier check of the server is in progress.
      */
     public void checkUp(BackendEndpoint endpoint, Runnable onRefused) {
+        checkUp(endpoint, () -> {}, onRefused);
+    }
+
+    /** Does the same, and calls the first task if a connection could be opened. */
+    public void checkUp(BackendEndpoint endpoint, Runnable onUp, Runnable onRefused) {
         if (!checkedEndpoints.add(endpoint)) {
             return;
         }
@@ -160,11 +165,14 @@
                 channel -> {
                     checkedEndpoints.remove(endpoint);
                     ChannelFuture _closed = channel.close();
+                    onUp.run();
                 },
                 failure -> relay.connect(endpoint, outcome -> {
                     checkedEndpoints.remove(endpoint);
                     closeIfReachable(endpoint, outcome);
-                    if (outcome.channel().isEmpty() && outcome.confirmed() && isRefusal(failure)) {
+                    if (outcome.channel().isPresent()) {
+                        onUp.run();
+                    } else if (outcome.confirmed() && isRefusal(failure)) {
                         onRefused.run();
                     }
                 }));
--- a/router/src/main/java/io/heatherloft/router/fleet/BackendRegistry.java
+++ b/router/src/main/java/io/heatherloft/router/fleet/BackendRegistry.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Consumer;
 
 /**
  * Registry of the backend servers of all services, as known to this host.
@@ -21,6 +22,7 @@
     private final Map<String, BackendServerState> servers = new HashMap<>();
     private final CrashingRequests crashingRequests;
     private final CrashingPrompts crashingPrompts;
+    private Consumer<BackendServerState> updateListener = _server -> {};
 
     /** Creates an empty registry. */
     public BackendRegistry(Loop loop, DecisionLog log) {
@@ -29,8 +31,18 @@
         this.crashingPrompts = new CrashingPrompts(loop, log);
     }
 
+    /** Sets a listener that is called with a server after each update of its entry. */
+    public void onUpdate(Consumer<BackendServerState> listener) {
+        updateListener = listener;
+    }
+
     /** Adds or updates a server. */
     public void update(BackendRegistration entry, StoreRevision revision) {
+        apply(entry, revision);
+        updateListener.accept(servers.get(entry.id()));
+    }
+
+    private void apply(BackendRegistration entry, StoreRevision revision) {
         BackendServerState known = servers.get(entry.id());
         if (known == null
                 || known.entry().startedAtMillis() != entry.startedAtMillis()
--- a/router/src/main/java/io/heatherloft/router/request/Attempt.java
+++ b/router/src/main/java/io/heatherloft/router/request/Attempt.java
@@ -107,6 +107,7 @@
         latencyGroup = execution.route().name() + '/' + dispatch.model().orElse("");
         server.onRequestStart();
         execution.engine().serverNotices().onSend(server);
+        execution.engine().coldServers().onSend(server);
         execution.engine().versionPolicies().onResponseStart(execution.service(), this);
         server.addPendingPromptTokens(pendingPromptTokens);
         execution
@@ -289,6 +290,7 @@
         if (status == STATUS_MISDIRECTED_REQUEST) {
             return;
         }
+        execution.engine().coldServers().onResponse(server, metadata.coldMillis());
         ServerNotices notices = execution.engine().serverNotices();
         boolean leavingNow = metadata.leaving() && notices.onDeparture(server);
         boolean restingNow = metadata.restMillis().isPresent()
@@ -305,7 +307,7 @@
         if (exchange != null) {
             exchange.cancel();
         }
-        onFailure(new ExchangeFailure(ExchangeFailure.Kind.BROKEN, reason));
+        fail(new ExchangeFailure(ExchangeFailure.Kind.BROKEN, reason));
     }
 
     @Override
@@ -388,6 +390,13 @@
 
     @Override
     public void onFailure(ExchangeFailure failure) {
+        if (!ended) {
+            execution.engine().coldServers().onFailure(server);
+            fail(failure);
+        }
+    }
+
+    private void fail(ExchangeFailure failure) {
         if (ended) {
             return;
         }
--- a/router/src/main/java/io/heatherloft/router/request/AttemptBackendSelector.java
+++ b/router/src/main/java/io/heatherloft/router/request/AttemptBackendSelector.java
@@ -7,6 +7,7 @@
 import io.heatherloft.router.fleet.BackendServerState;
 import io.heatherloft.router.fleet.VersionPolicies;
 import io.heatherloft.router.fleet.VersionPolicy;
+import io.heatherloft.router.peers.ColdServerGuard;
 import io.heatherloft.router.peers.HostReports;
 import java.util.List;
 import java.util.Map;
@@ -28,6 +29,7 @@
     private final BackendRegistry registry;
     private final VersionPolicies versionPolicies;
     private final HostReports hostReports;
+    private final ColdServerGuard coldServers;
     private final String availabilityZone;
 
     AttemptBackendSelector(
@@ -35,11 +37,13 @@
             BackendRegistry registry,
             VersionPolicies versionPolicies,
             HostReports hostReports,
+            ColdServerGuard coldServers,
             String availabilityZone) {
         this.loop = loop;
         this.registry = registry;
         this.versionPolicies = versionPolicies;
         this.hostReports = hostReports;
+        this.coldServers = coldServers;
         this.availabilityZone = availabilityZone;
     }
 
@@ -49,13 +53,22 @@
         if (servers.isEmpty()) {
             return RefusalReason.NO_BACKEND;
         }
-        return isAtRest(servers) ? RefusalReason.SERVERS_AT_REST : RefusalReason.SERVERS_AT_LIMIT;
+        if (isAtRest(servers)) {
+            return RefusalReason.SERVERS_AT_REST;
+        }
+        return coldServers.isAnyCold(withinLimits(servers))
+                ? RefusalReason.SERVERS_COLD
+                : RefusalReason.SERVERS_AT_LIMIT;
     }
 
     private List<BackendServerState> usable(String service) {
         return hostReports.serverNotices().staying(registry.ready(service));
     }
 
+    private List<BackendServerState> withinLimits(List<BackendServerState> servers) {
+        return servers.stream().filter(hostReports.serverNotices()::mayUse).toList();
+    }
+
     private boolean isAtRest(List<BackendServerState> servers) {
         return servers.stream().allMatch(server -> hostReports.serverNotices().remainingRestMillis(server) > 0);
     }
@@ -73,14 +86,21 @@
         return (restMillis + spreadMillis) / MILLIS_PER_SECOND;
     }
 
+    /** Returns the time after which a caller should send a request again that was refused because servers are cold. */
+    double secondsUntilColdServerUsable(String service, RequestMetadata metadata) {
+        return coldServers.secondsUntilUsable(
+                withinLimits(usable(service)), metadata.attemptId().orElse(""));
+    }
+
     /**
-     * Returns the server for the next attempt; empty if the service has no server, or this host no share of the limits
-     * of its servers left.
+     * Returns the server for the next attempt; empty if the service has no server, this host no share of the limits of its
+     * servers left, or all are cold and this host has no token for one.
      *
+     * @param priority priority of the request, 0 being the highest
      * @param triedServers servers that have failed this request; they, and servers of a suspect version, are selected
      *     only if there is no other
      */
-    Optional<Selection> select(String service, RequestMetadata metadata, TriedServers triedServers) {
+    Optional<Selection> select(String service, RequestMetadata metadata, int priority, TriedServers triedServers) {
         long now = loop.nowMillis();
         List<BackendServerState> ready = usable(service);
         Set<String> availableVersions =
@@ -88,14 +108,15 @@
         VersionPolicy.VersionPreference preference = versionPolicies
                 .of(service)
                 .preference(metadata.session(), metadata.attemptId().orElse(""), availableVersions, now);
+        Map<String, Integer> otherLoads = hostReports.outstandingByBackend();
         List<BackendServerState> eligible = preference.versions().stream()
                 .filter(version -> !triedServers.isVersionSuspect(version))
                 .findFirst()
                 .or(() -> preference.versions().stream().findFirst())
-                .map(version -> ready.stream()
+                .map(version -> withinLimits(ready.stream()
                         .filter(server -> server.entry().version().equals(version))
-                        .filter(hostReports.serverNotices()::mayUse)
-                        .toList())
+                        .toList()))
+                .map(servers -> coldServers.usable(service, priority, servers, otherLoads))
                 .orElseGet(List::of);
         List<BackendServerState> untried = eligible.stream()
                 .filter(server -> !triedServers.contains(server.entry().id()))
@@ -103,7 +124,6 @@
         List<BackendServerState> healthy = untried.stream()
                 .filter(server -> server.health().isAvailable(now))
                 .toList();
-        Map<String, Integer> otherLoads = hostReports.outstandingByBackend();
         return Stream.of(healthy, untried, eligible)
                 .filter(servers -> !servers.isEmpty())
                 .findFirst()
--- a/router/src/main/java/io/heatherloft/router/request/RequestEngine.java
+++ b/router/src/main/java/io/heatherloft/router/request/RequestEngine.java
@@ -14,6 +14,7 @@
 import io.heatherloft.router.http.CallerHandler;
 import io.heatherloft.router.http.CallerRequest;
 import io.heatherloft.router.log.DecisionLog;
+import io.heatherloft.router.peers.ColdServerGuard;
 import io.heatherloft.router.peers.HostReports;
 import io.heatherloft.router.peers.ServerNotices;
 import java.util.Optional;
@@ -42,6 +43,7 @@
     private final MetricRegistry metrics;
     private final RetryBudgets retryBudgets;
     private final ServerNotices serverNotices;
+    private final ColdServerGuard coldServers;
     private final ResponseBuffers responseBuffers = new ResponseBuffers();
     private int inProgress;
 
@@ -54,6 +56,7 @@
             BackendRegistry registry,
             VersionPolicies versionPolicies,
             HostReports hostReports,
+            ColdServerGuard coldServers,
             EngineSettings settings,
             DecisionLog log,
             MetricRegistry metrics) {
@@ -66,10 +69,11 @@
         this.versionPolicies = versionPolicies;
         this.log = log;
         this.metrics = metrics;
+        this.coldServers = coldServers;
         this.serverNotices = hostReports.serverNotices();
         this.retryBudgets = new RetryBudgets(settings.retryRatio(), settings.retryAllowance(), hostReports::hostCount);
-        this.backendSelector =
-                new AttemptBackendSelector(loop, registry, versionPolicies, hostReports, settings.availabilityZone());
+        this.backendSelector = new AttemptBackendSelector(
+                loop, registry, versionPolicies, hostReports, coldServers, settings.availabilityZone());
     }
 
     @Override
@@ -136,6 +140,10 @@
         return serverNotices;
     }
 
+    ColdServerGuard coldServers() {
+        return coldServers;
+    }
+
     ResponseBuffers responseBuffers() {
         return responseBuffers;
     }
--- a/router/src/main/java/io/heatherloft/router/request/RequestExecution.java
+++ b/router/src/main/java/io/heatherloft/router/request/RequestExecution.java
@@ -124,7 +124,7 @@
             return;
         }
         Optional<AttemptBackendSelector.Selection> selected =
-                engine.backendSelector().select(service, metadata, triedServers);
+                engine.backendSelector().select(service, metadata, priority(), triedServers);
         if (selected.isEmpty()) {
             fail(engine.backendSelector().reasonForNoServer(service));
             return;
@@ -159,10 +159,11 @@
     }
 
     private OptionalInt urgency() {
-        return route.repeatPolicy().isStream()
-                ? OptionalInt.of(
-                        keyHolder.map(holder -> holder.priorityOn(route)).orElseGet(route::priority))
-                : OptionalInt.empty();
+        return route.repeatPolicy().isStream() ? OptionalInt.of(priority()) : OptionalInt.empty();
+    }
+
+    private int priority() {
+        return keyHolder.map(holder -> holder.priorityOn(route)).orElseGet(route::priority);
     }
 
     /**
@@ -343,12 +344,18 @@
                     exchange,
                     engine.headerCodec().localReplyHeaders(metadata),
                     effectiveReason,
-                    effectiveReason == RefusalReason.SERVERS_AT_REST
-                            ? engine.backendSelector().secondsUntilRestEnds(service, metadata)
-                            : effectiveReason.retryAfterSeconds());
+                    retryAfterSeconds(effectiveReason));
         }
     }
 
+    private double retryAfterSeconds(RefusalReason reason) {
+        return switch (reason) {
+            case SERVERS_AT_REST -> engine.backendSelector().secondsUntilRestEnds(service, metadata);
+            case SERVERS_COLD -> engine.backendSelector().secondsUntilColdServerUsable(service, metadata);
+            default -> reason.retryAfterSeconds();
+        };
+    }
+
     @Override
     public void onCallerDisconnected() {
         if (!ended) {
