--- a/domain/src/main/java/io/heatherloft/domain/route/KnownHosts.java
+++ b/domain/src/main/java/io/heatherloft/domain/route/KnownHosts.java
@@ -16,10 +16,10 @@
     /** Time, at least, for which the longest length of a list counts; at most twice as long. */
     static final long LONGEST_PERIOD_MILLIS = 900_000L;
 
-    // With 360 hosts, gossip brings about 50 reports in this time. While a list grows by more than the fraction, it
-    // misses
-    // so many hosts that too many would take themselves for the first in an order of all.
-    private static final long SETTLE_MILLIS = 5_000L;
+    // While a list grows by more than the fraction in several rounds of gossip, which take 8 ms for each host, it
+    // misses so many hosts that too many would take themselves for the first in an order of all.
+    private static final long MIN_SETTLE_MILLIS = 5_000L;
+    private static final long SETTLE_MILLIS_PER_HOST = 60L;
     private static final double SETTLED_GROWTH = 0.05;
     // Above a half, so that at most one of two groups of a divided fleet is larger. The hosts that remain when one of
     // three zones is lost are more.
@@ -63,7 +63,8 @@
         }
         settledSize = Math.min(settledSize, size);
         boolean longEnough = size > 1 && size > MIN_FRACTION_OF_LONGEST * Math.max(longest, longestBefore);
-        boolean settled = nowMillis - grownMillis >= SETTLE_MILLIS && nowMillis - startMillis >= START_MILLIS;
+        long settleMillis = Math.max(MIN_SETTLE_MILLIS, SETTLE_MILLIS_PER_HOST * size);
+        boolean settled = nowMillis - grownMillis >= settleMillis && nowMillis - startMillis >= START_MILLIS;
         reliable = longEnough && (reliable || settled);
     }
 
--- a/entry/src/test/java/io/heatherloft/entry/EntryHostHarness.java
+++ b/entry/src/test/java/io/heatherloft/entry/EntryHostHarness.java
@@ -1,5 +1,6 @@
 package io.heatherloft.entry;
 
+import io.heatherloft.domain.route.ColdServerBound;
 import io.heatherloft.platform.PlatformSettings;
 import io.heatherloft.ports.http.SocketAddresses;
 import io.heatherloft.router.http.CallerRequest;
@@ -50,6 +51,7 @@
     private final Map<String, Integer> backendPorts = new LinkedHashMap<>();
     private final int storePort;
     long sessionIdleTimeoutMillis = 5_000L;
+    Optional<ColdServerBound> coldBound = Optional.empty();
 
     EntryHostHarness() {
         store = new StoreStandIn(loop.loop());
@@ -146,7 +148,7 @@
                 52,
                 10_000L,
                 2_000L,
-                Optional.empty(),
+                coldBound,
                 false,
                 0);
         EntryHost host = EntryHost.start(settings, EntryHost.newLogQueue(), earlyListener, 0, serverAddresses);
--- a/router/src/main/java/io/heatherloft/router/peers/ColdServerGuard.java
+++ b/router/src/main/java/io/heatherloft/router/peers/ColdServerGuard.java
@@ -100,7 +100,7 @@
         if (now - hostsReadMillis >= MAX_HOSTS_AGE_MILLIS) {
             hostsReadMillis = now;
             cold.updateHosts(
-                    reports.known().stream()
+                    reports.remembered().stream()
                             .mapToLong(report -> StableHash.of(report.getHost()))
                             .toArray(),
                     now);
--- a/router/src/main/java/io/heatherloft/router/peers/HostReports.java
+++ b/router/src/main/java/io/heatherloft/router/peers/HostReports.java
@@ -29,6 +29,9 @@
     // A host that sent no report for this time is no longer contacted or counted.
     private static final long MAX_KNOWN_AGE_MILLIS = 60_000L;
 
+    // With 360 hosts, a host hears in a minute of about 60% of the others, in five of nearly all.
+    private static final long MAX_REMEMBERED_AGE_MILLIS = 300_000L;
+
     // Time in which another host usually learns of a write.
     private static final long WRITE_STEP_MILLIS = 400L;
     private static final long MAX_WRITE_TURNS = 30L;
@@ -130,6 +133,18 @@
         return youngerThan(MAX_KNOWN_AGE_MILLIS);
     }
 
+    /**
+     * Returns the newest reports of the hosts that reported in the last five minutes. Hosts that have announced that they stop
+     * are left out after a minute.
+     */
+    Collection<HostReport> remembered() {
+        return byHost.values().stream()
+                .filter(received -> ageOf(received)
+                        < (received.report().getStopping() ? MAX_KNOWN_AGE_MILLIS : MAX_REMEMBERED_AGE_MILLIS))
+                .map(ReceivedReport::report)
+                .toList();
+    }
+
     /** Returns the number of hosts, including this one, among which fleet-wide budgets are divided. */
     public int hostCount() {
         return 1 + known().size();
--- a/router/src/test/java/io/heatherloft/router/peers/GossipFleet.java
+++ b/router/src/test/java/io/heatherloft/router/peers/GossipFleet.java
@@ -28,6 +28,7 @@
     private final long sessionIdleMillis;
     private final StoredFormats formats;
     private final Map<String, FleetGossip> gossips = new HashMap<>();
+    private final Map<String, Integer> groups = new HashMap<>();
 
     GossipFleet(long seed, long sessionIdleMillis, StoredFormats formats) {
         this.random = new Random(seed);
@@ -35,8 +36,16 @@
         this.formats = formats;
     }
 
-    private CompletableFuture<PeerReply> call(String address, PeerRequest request) {
+    /** Lets a host reach only the hosts of the same group, from now on; all are in group 0 at first. */
+    void moveToGroup(String name, int group) {
+        groups.put(name, group);
+    }
+
+    private CompletableFuture<PeerReply> call(String caller, String address, PeerRequest request) {
         CompletableFuture<PeerReply> reply = new CompletableFuture<>();
+        if (!groups.getOrDefault(caller, 0).equals(groups.getOrDefault(address, 0))) {
+            return reply;
+        }
         loop.schedule(
                 networkDelayMillis(),
                 () -> Futures.onComplete(
@@ -73,7 +82,7 @@
             this.reports = new HostReports(loop, name);
             this.gossip = new FleetGossip(
                     loop,
-                    GossipFleet.this::call,
+                    (address, request) -> call(name, address, request),
                     view,
                     registry,
                     versions,
--- a/standins/src/main/java/io/heatherloft/standins/platform/RunnerStandIn.java
+++ b/standins/src/main/java/io/heatherloft/standins/platform/RunnerStandIn.java
@@ -33,6 +33,7 @@
 
     private static final long RESPONSE_DELAY_MILLIS = 450L;
     private static final long CRASH_DELAY_MILLIS = 5L;
+    private static final long SECOND_MILLIS = 1_000L;
 
     private final Loop loop;
     private String id;
@@ -49,6 +50,9 @@
     private Predicate<CallerRequest> crashing = _request -> false;
     private Runnable crashListener = () -> {};
     private boolean crashed;
+    private long coldUntilMillis;
+    private double maxColdRequestsInSecond;
+    private final Deque<Long> coldArrivals = new ArrayDeque<>();
 
     /**
      * Creates a server.
@@ -135,6 +139,32 @@
         crashListener = listener;
     }
 
+    /**
+     * Makes the server cold for a time, as a start does. Its responses say so, and it crashes if it gets too many requests.
+     *
+     * @param maxRequestsInSecond number of requests in a second above which the cold server crashes
+     */
+    public void startCold(long millis, double maxRequestsInSecond) {
+        crashed = false;
+        coldUntilMillis = loop.nowMillis() + millis;
+        maxColdRequestsInSecond = maxRequestsInSecond;
+        coldArrivals.clear();
+    }
+
+    private long coldMillis() {
+        return Math.max(0, coldUntilMillis - loop.nowMillis());
+    }
+
+    private boolean isTooMuchWhileCold() {
+        long now = loop.nowMillis();
+        if (coldMillis() == 0) {
+            return false;
+        }
+        coldArrivals.removeIf(arrival -> arrival <= now - SECOND_MILLIS);
+        coldArrivals.add(now);
+        return coldArrivals.size() > maxColdRequestsInSecond;
+    }
+
     /** Returns true from a crash until the next start. */
     public boolean isCrashed() {
         return crashed;
@@ -186,6 +216,10 @@
         }
         receivedRequests.add(request);
         openExchanges.add(exchange);
+        if (isTooMuchWhileCold()) {
+            crash();
+            return;
+        }
         exchange.setListener(new CallerExchange.Listener() {
             @Override
             public void onCallerDisconnected() {
@@ -221,6 +255,9 @@
         if (leaving) {
             headers.set("Server-Leaving", "1");
         }
+        if (coldMillis() > 0) {
+            headers.set("X-Cold-Ms", String.valueOf(coldMillis()));
+        }
         requestLimit.ifPresent(limit -> headers.set("Server-Limit", String.valueOf(limit)));
         switch (act) {
             case REFUSE -> {
