--- a/router/src/test/java/io/heatherloft/router/peers/ColdServerFleetTest.java
+++ b/router/src/test/java/io/heatherloft/router/peers/ColdServerFleetTest.java
@@ -33,11 +33,15 @@
     private static final int ZONES = 4;
     private static final String RETURNING_ZONE = "z0";
     private static final int REQUESTS_PER_SECOND_AND_HOST = 4;
+    // Of RequestExecution.
+    private static final int MAX_CONNECT_FAILURES = 3;
     private static final long RESPONSE_MILLIS = 60L;
     // Time in which a host learns of a change in the store.
     private static final int MAX_NOTICE_MILLIS = 800;
     // Last part of the cold time, in which all hosts know of it and had the time to earn a token.
     private static final long KNOWN_COLD_MILLIS = 2_000L;
+    // After which 360 hosts rely on their lists of hosts, if these are complete from the start.
+    private static final long SETTLE_MILLIS = 23_000L;
     private static final long CYCLE_MILLIS = 6_000L;
 
     /** Hosts and servers, and callers whose requests reach any running host. */
@@ -48,7 +52,6 @@
         private final List<Host> hosts = new ArrayList<>();
         private final List<Server> servers;
         private boolean storeSaysCold = true;
-        private boolean calling;
 
         Fleet(int hostCount, int serverCount, long seed) {
             this.gossip = new GossipFleet(seed, 1_000, new TextFormats(0));
@@ -68,7 +71,7 @@
                         .setAddress(other.name)
                         .build());
             }));
-            fleet.loop.runFor(30_000);
+            fleet.loop.runFor(SETTLE_MILLIS);
             return fleet;
         }
 
@@ -94,20 +97,11 @@
             }
         }
 
+        /** Sends requests from now on. */
         void call() {
-            if (!calling) {
-                calling = true;
-                callNext();
-            }
-        }
-
-        private void callNext() {
-            if (!calling) {
-                return;
-            }
             hosts.get(random.nextInt(hosts.size())).request();
             double requestsPerMilli = hosts.size() * REQUESTS_PER_SECOND_AND_HOST / 1_000.0;
-            loop.schedule(nextDelayMillis(requestsPerMilli), this::callNext);
+            loop.schedule(nextDelayMillis(requestsPerMilli), this::call);
             // More than one request a millisecond.
             IntStream.range(0, (int) requestsPerMilli)
                     .forEach(_index -> hosts.get(random.nextInt(hosts.size())).request());
@@ -117,6 +111,7 @@
             return Math.round(-Math.log(1 - random.nextDouble()) * (1 + (int) requestsPerMilli) / requestsPerMilli);
         }
 
+        /** Lets a host start, freeze or die, be cut off or connected again now, and others later. */
         void churn() {
             Host host = randomHost();
             if (!host.idle) {
@@ -194,6 +189,10 @@
                 lastSecond.clear();
             }
 
+            boolean isBusy() {
+                return !down && coldMillis() == 0;
+            }
+
             long coldMillis() {
                 return Math.max(0, coldUntilMillis - loop.nowMillis());
             }
@@ -287,7 +286,11 @@
             }
 
             void request() {
-                if (idle) {
+                request(0);
+            }
+
+            private void request(int connectFailures) {
+                if (idle || connectFailures > MAX_CONNECT_FAILURES) {
                     return;
                 }
                 List<BackendServerState> ready = member.registry.ready("llm").stream()
@@ -295,16 +298,16 @@
                                 !evacuated || !server.entry().availabilityZone().equals(RETURNING_ZONE))
                         .filter(server -> server.health().isAvailable(loop.nowMillis()))
                         .toList();
-                // Servers that have just started are idle.
+                // Servers that are down or have just started are idle.
                 guard.usable("llm", 1, ready, Map.of()).stream()
                         .min(Comparator.comparing((BackendServerState server) ->
-                                        find(server).coldMillis() == 0)
+                                        find(server).isBusy())
                                 .thenComparing(BackendServerState::outstanding)
                                 .thenComparing(_server -> random.nextInt()))
-                        .ifPresent(this::send);
+                        .ifPresent(server -> send(server, connectFailures));
             }
 
-            private void send(BackendServerState server) {
+            private void send(BackendServerState server, int connectFailures) {
                 server.onRequestStart();
                 guard.onSend(server);
                 loop.schedule(gossip.networkDelayMillis(), () -> {
@@ -312,6 +315,7 @@
                         server.health().recordUnreachable(loop.nowMillis());
                         server.onRequestEnd();
                         guard.onFailure(server);
+                        request(connectFailures + 1);
                         return;
                     }
                     find(server).arrive();
@@ -325,98 +329,145 @@
         }
     }
 
+    private static int servers(int hostCount) {
+        return hostCount == 70 ? 98 : hostCount == 6 ? 8 : 60;
+    }
+
+    /** All hosts together sent servers that had just started as much as they had requests, and the servers crashed. */
     @Nested
-    final class Trial {
-        private int servers(int n) {
-            return n == 6 ? 8 : n == 70 ? 98 : 80;
+    final class AFleet {
+        private void keepsToTheBound(int hostCount) {
+            Fleet fleet = Fleet.settled(hostCount, servers(hostCount));
+            fleet.call();
+            fleet.returnZoneFor(2 * CYCLE_MILLIS);
+            fleet.storeSaysCold = false;
+            fleet.returnZoneFor(CYCLE_MILLIS);
+            fleet.checkBound();
+            assertWithMessage("%s hosts, requests/s to cold servers", hostCount)
+                    .that(fleet.coldRate())
+                    .isAtLeast(RATE / 2);
         }
 
-        private void print(String what, Fleet fleet) {
-            System.out.println(
-                    what + " " + fleet.hosts.size() + " most " + fleet.mostInSecond() + " rate " + fleet.coldRate());
-            fleet.servers.forEach(x -> {
-                x.mostInSecond = 0;
-                x.coldArrivals = 0;
-                x.coldPeriods = 0;
-            });
+        @Test
+        void of_6_hosts_sends_cold_servers_at_most_the_bound_and_half_of_what_they_withstand() {
+            keepsToTheBound(6);
         }
 
         @Test
-        void bounds() {
-            for (int n : new int[] {6, 70, 360}) {
-                long t0 = System.nanoTime();
-                Fleet fleet = new Fleet(n, servers(n), n);
-                fleet.call();
-                for (int t = 0; t < 3; t++) {
-                    fleet.returnZoneFor(6_000);
-                    print("start " + t, fleet);
-                }
-                fleet.calling = false;
-                fleet.loop.runFor(42_000);
-                for (int t = 0; t < 12; t++) {
-                    System.out.println(fleet.hosts.stream()
-                            .mapToInt(h -> h.member.reports.remembered().size())
-                            .summaryStatistics());
-                    fleet.call();
-                    fleet.returnZoneFor(6_000);
-                    print("start, later " + t, fleet);
-                    fleet.calling = false;
-                    fleet.loop.runFor(6_000);
-                }
-                fleet.call();
-                fleet.storeSaysCold = false;
-                fleet.returnZoneFor(18_000);
-                print("settled, 0", fleet);
-                for (int i = 0; i < n / 2; i++) {
-                    fleet.gossip.moveToGroup("h" + i, 1);
-                }
-                for (int t = 0; t < 15; t++) {
-                    fleet.returnZoneFor(6_000);
-                    print("divided " + t, fleet);
-                    fleet.calling = false;
-                    fleet.loop.runFor(20_000);
-                    fleet.call();
-                }
-                for (int i = 0; i < n / 2; i++) {
-                    fleet.gossip.moveToGroup("h" + i, 0);
-                }
-                for (int t = 0; t < 5; t++) {
-                    fleet.returnZoneFor(6_000);
-                    print("joined " + t, fleet);
-                }
-                System.out.println(n + " took s " + (System.nanoTime() - t0) / 1_000_000_000);
-            }
+        void of_70_hosts_sends_cold_servers_at_most_the_bound_and_half_of_what_they_withstand() {
+            keepsToTheBound(70);
         }
 
         @Test
-        void churn() {
-            for (int n : new int[] {6, 70, 360}) {
-                long t0 = System.nanoTime();
-                Fleet fleet = Fleet.settled(n, servers(n));
-                fleet.call();
-                fleet.churn();
-                fleet.checkBound();
-                for (int t = 0; t < 8; t++) {
-                    fleet.returnZoneFor(6_000);
-                    print("churn " + t, fleet);
-                }
-                System.out.println(n + " took s " + (System.nanoTime() - t0) / 1_000_000_000);
-            }
+        void of_360_hosts_sends_cold_servers_at_most_the_bound_and_half_of_what_they_withstand() {
+            keepsToTheBound(360);
+        }
+    }
+
+    /** Hosts that do not know one another yet would all be holders of all cold servers. */
+    @Nested
+    final class AFleetThatStartsAtOnce {
+        private void keepsToTheBound(int hostCount, long listsFillMillis) {
+            Fleet fleet = new Fleet(hostCount, servers(hostCount), hostCount);
+            fleet.call();
+            fleet.returnZoneFor(3 * CYCLE_MILLIS);
+            fleet.loop.runFor(listsFillMillis);
+            fleet.returnZoneFor(2 * CYCLE_MILLIS);
+            fleet.checkBound();
         }
 
         @Test
-        void crashes() {
-            for (int n : new int[] {6, 70, 360}) {
-                Fleet fleet = Fleet.settled(n, servers(n));
-                fleet.call();
-                for (int t : new int[] {3, 5, 10, 20, 30}) {
-                    fleet.crashZone();
-                    fleet.loop.runFor(t * 1_000L);
-                    fleet.startZoneAtItsAddresses();
-                    fleet.loop.runFor(10_000);
-                    print("crash " + t, fleet);
-                }
+        void of_6_hosts_keeps_to_the_bound() {
+            keepsToTheBound(6, 0);
+        }
+
+        @Test
+        void of_70_hosts_keeps_to_the_bound() {
+            keepsToTheBound(70, 0);
+        }
+
+        @Test
+        void of_360_hosts_keeps_to_the_bound() {
+            keepsToTheBound(360, 50_000);
+        }
+    }
+
+    @Nested
+    final class AFleetWhoseHosts {
+        private void startDieFreezeAndAreCutOff(int hostCount, long millis) {
+            Fleet fleet = Fleet.settled(hostCount, servers(hostCount));
+            fleet.call();
+            fleet.churn();
+            fleet.returnZoneFor(millis);
+            fleet.checkBound();
+        }
+
+        private void fallIntoHalves(int hostCount) {
+            Fleet fleet = Fleet.settled(hostCount, servers(hostCount));
+            fleet.hosts.stream().limit(hostCount / 2).forEach(host -> fleet.gossip.moveToGroup(host.name, 1));
+            fleet.call();
+            fleet.returnZoneFor(2 * CYCLE_MILLIS);
+            // Until each half has forgotten the other one.
+            fleet.loop.runFor(280_000);
+            fleet.returnZoneFor(6 * CYCLE_MILLIS);
+            fleet.hosts.forEach(host -> fleet.gossip.moveToGroup(host.name, 0));
+            fleet.returnZoneFor(4 * CYCLE_MILLIS);
+            fleet.checkBound();
+        }
+
+        @Test
+        void start_die_freeze_and_are_cut_off_keeps_to_the_bound_with_6_hosts() {
+            startDieFreezeAndAreCutOff(6, 20 * CYCLE_MILLIS);
+        }
+
+        @Test
+        void start_die_freeze_and_are_cut_off_keeps_to_the_bound_with_70_hosts() {
+            startDieFreezeAndAreCutOff(70, 20 * CYCLE_MILLIS);
+        }
+
+        @Test
+        void start_die_freeze_and_are_cut_off_keeps_to_the_bound_with_360_hosts() {
+            startDieFreezeAndAreCutOff(360, 4 * CYCLE_MILLIS);
+        }
+
+        @Test
+        void fall_into_halves_keeps_to_the_bound() {
+            fallIntoHalves(6);
+            fallIntoHalves(70);
+        }
+    }
+
+    /** The hosts learn only from failed requests that the servers are down, and only by trying that they are up. */
+    @Nested
+    final class ServersThatRestartUnderTheirIds {
+        private void getAtMostTheBound(int hostCount, long... downTimes) {
+            Fleet fleet = Fleet.settled(hostCount, servers(hostCount));
+            fleet.call();
+            for (long downMillis : downTimes) {
+                fleet.crashZone();
+                fleet.loop.runFor(downMillis);
+                fleet.startZoneAtItsAddresses();
+                fleet.loop.runFor(10_000);
             }
+            fleet.checkBound();
+            assertWithMessage("%s hosts, requests/s to cold servers", hostCount)
+                    .that(fleet.coldRate())
+                    .isGreaterThan(0.0);
+        }
+
+        @Test
+        void get_at_most_the_bound_from_6_hosts() {
+            getAtMostTheBound(6, 4_500, 20_000);
+        }
+
+        @Test
+        void get_at_most_the_bound_from_70_hosts() {
+            getAtMostTheBound(70, 4_500, 20_000);
+        }
+
+        @Test
+        void get_at_most_the_bound_from_360_hosts() {
+            getAtMostTheBound(360, 6_000);
         }
     }
 }
