--- a/entry/src/test/java/io/heatherloft/entry/ColdServerTest.java
+++ b/entry/src/test/java/io/heatherloft/entry/ColdServerTest.java
@@ -96,7 +96,7 @@
             assertThat(refused).isNotEmpty();
             refused.forEach(response -> assertThat(response).containsMatch("retry-after: [01]\\.[0-9]+"));
             assertThat(harness.get(hosts.get(0).metricsPort(), "/metrics"))
-                    .containsMatch("requests_total[._]SERVERS_COLD [1-9]");
+                    .containsMatch("requests_total_SERVERS_COLD_total [1-9]");
             assertThat(isCrashed(cold)).isFalse();
         }
     }
