--- a/router/src/main/java/io/heatherloft/router/backend/BackendConnectionPool.java
+++ b/router/src/main/java/io/heatherloft/router/backend/BackendConnectionPool.java
@@ -176,6 +176,20 @@
                 }));
     }
 
+    /** Opens and closes a connection to a server, through another host if need be, and calls the task if that succeeds. */
+    public void checkConnectable(BackendEndpoint endpoint, Runnable onConnected) {
+        openDirectly(
+                endpoint,
+                channel -> {
+                    ChannelFuture _closed = channel.close();
+                    onConnected.run();
+                },
+                _failure -> relay.connect(endpoint, outcome -> {
+                    closeIfReachable(endpoint, outcome);
+                    outcome.channel().ifPresent(_channel -> onConnected.run());
+                }));
+    }
+
     private void tryDirectly(BackendEndpoint endpoint, Consumer<Throwable> onFailure) {
         openDirectly(
                 endpoint,
--- a/router/src/main/java/io/heatherloft/router/request/RequestExecution.java
+++ b/router/src/main/java/io/heatherloft/router/request/RequestExecution.java
@@ -127,7 +127,7 @@
             return;
         }
         Optional<AttemptBackendSelector.Selection> selected =
-                engine.backendSelector().select(service, metadata, triedServers);
+                engine.backendSelector().select(service, metadata, priority(), triedServers);
         if (selected.isEmpty()) {
             fail(engine.backendSelector().reasonForNoServer(service));
             return;
@@ -308,7 +308,9 @@
 
     // The response that has begun or arrived is not given up for a retry that no server may get.
     private boolean hasServer() {
-        return engine.backendSelector().select(service, metadata, triedServers).isPresent();
+        return engine.backendSelector()
+                .select(service, metadata, priority(), triedServers)
+                .isPresent();
     }
 
     private boolean mayRetry(String reason) {
@@ -353,12 +355,18 @@
                     exchange,
                     engine.headerCodec().localReplyHeaders(metadata),
                     effectiveReason,
-                    effectiveReason == RefusalReason.SERVERS_AT_REST
-                            ? engine.backendSelector().secondsUntilRestEnds(service, metadata)
-                            : effectiveReason.retryAfterSeconds());
+                    retryAfterSeconds(effectiveReason));
         }
     }
 
+    private double retryAfterSeconds(RefusalReason reason) {
+        return switch (reason) {
+            case SERVERS_AT_REST -> engine.backendSelector().secondsUntilRestEnds(service, metadata);
+            case SERVERS_COLD -> engine.backendSelector().secondsUntilColdServerUsable(service, metadata);
+            default -> reason.retryAfterSeconds();
+        };
+    }
+
     @Override
     public void onCallerDisconnected() {
         if (!ended) {
