EvacuatedZoneTest: an idle connection beside a request in progress

Cause: both connections of the test were in use when the order came, so closing idle ones at that time was not tested.

Change: one of two connections is idle when the order comes.

--- a/entry/src/test/java/io/heatherloft/entry/EvacuatedZoneTest.java
+++ b/entry/src/test/java/io/heatherloft/entry/EvacuatedZoneTest.java
@@ -168,18 +168,22 @@
             EntryHost host = harness.startHost("h-0", EntryHostHarness.freePort(), List.of(), links);
             hosts.add(host);
             harness.awaitBackendCount(host, 1);
-            assertThat(stream(host)).contains("id: 8\n");
-            assertThat(links.openConnections()).isEqualTo(1);
             harness.onLoop(() -> evacuated.setHolding(true));
             CompletableFuture<String> first = startStream(host);
             CompletableFuture<String> second = startStream(host);
+            harness.await(() -> received(evacuated) == 2);
+            harness.onLoop(() -> evacuated.setHolding(false));
+            assertThat(first.join()).contains("id: 8\n");
+            assertThat(second.join()).contains("id: 8\n");
+            harness.onLoop(() -> evacuated.setHolding(true));
+            CompletableFuture<String> inProgress = startStream(host);
             harness.await(() -> received(evacuated) == 3);
             assertThat(links.openConnections()).isEqualTo(2);
             order();
+            harness.await(() -> links.openConnections() == 1);
             awaitRetryForSilence();
             harness.onLoop(() -> evacuated.setHolding(false));
-            assertThat(first.join()).contains("id: 8\n");
-            assertThat(second.join()).contains("id: 8\n");
+            assertThat(inProgress.join()).contains("id: 8\n");
             harness.await(() -> links.openConnections() == 0);
             assertThat(metrics(host)).contains("zones_evacuated 1.0\n");
         }
