--- a/router/src/test/java/io/heatherloft/router/peers/GossipFleet.java
+++ b/router/src/test/java/io/heatherloft/router/peers/GossipFleet.java
@@ -13,9 +13,11 @@
 import io.heatherloft.router.fleet.VersionPolicies;
 import io.heatherloft.router.log.DecisionLog;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 
 /** Hosts that gossip in virtual time, without a network. Confined to the test's thread. */
@@ -28,6 +30,12 @@
     private final long sessionIdleMillis;
     private final StoredFormats formats;
     private final Map<String, FleetGossip> gossips = new HashMap<>();
+    /** Hosts that exchange no messages with others. */
+    final Set<String> unreachable = new HashSet<>();
+    /** Messages and their bytes, of all hosts. */
+    long messagesSent;
+
+    long bytesSent;
 
     GossipFleet(long seed, long sessionIdleMillis, StoredFormats formats) {
         this.random = new Random(seed);
@@ -35,16 +43,26 @@
         this.formats = formats;
     }
 
-    private CompletableFuture<PeerReply> call(String address, PeerRequest request) {
+    private CompletableFuture<PeerReply> call(String caller, String address, PeerRequest request) {
+        if (unreachable.contains(caller) || unreachable.contains(address)) {
+            return CompletableFuture.failedFuture(new IllegalStateException("unreachable"));
+        }
         CompletableFuture<PeerReply> reply = new CompletableFuture<>();
+        countMessage(request.getSerializedSize());
         loop.schedule(
                 networkDelayMillis(),
-                () -> Futures.onComplete(
-                        gossips.get(address).handle(request),
-                        (received, _failure) -> loop.schedule(networkDelayMillis(), () -> reply.complete(received))));
+                () -> Futures.onComplete(gossips.get(address).handle(request), (received, _failure) -> {
+                    countMessage(received.getSerializedSize());
+                    loop.schedule(networkDelayMillis(), () -> reply.complete(received));
+                }));
         return reply;
     }
 
+    void countMessage(int bytes) {
+        messagesSent++;
+        bytesSent += bytes;
+    }
+
     int networkDelayMillis() {
         return 1 + random.nextInt(MAX_NETWORK_DELAY_MILLIS);
     }
@@ -73,7 +91,7 @@
             this.reports = new HostReports(loop, name);
             this.gossip = new FleetGossip(
                     loop,
-                    GossipFleet.this::call,
+                    (peer, request) -> call(name, peer, request),
                     view,
                     registry,
                     versions,
