Server speeds: learned by kind of request, told to other hosts, used from 24 hosts on

Cause: servers of speeds 0.6, 1 and 1.6, or slow for a while, were selected as if they were equal. Change: ServerSpeeds keeps the response time of a server relative to those of its service for the same kind of request; a report carries it for servers with requests in progress, if it differs by a half. BackendSelector multiplies the expected time by it. Its choice is one loop without streams.

--- a/domain/src/main/java/io/heatherloft/domain/route/BackendSelector.java
+++ b/domain/src/main/java/io/heatherloft/domain/route/BackendSelector.java
@@ -1,7 +1,6 @@
 package io.heatherloft.domain.route;
 
 import io.heatherloft.domain.StableHash;
-import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
 
@@ -24,6 +23,10 @@
     // A request to another availability zone takes an extra round trip, and its traffic is charged for.
     private static final double OTHER_ZONE_PENALTY_MILLIS = 3.0;
     private static final double FAILURE_PENALTY_MILLIS = 400.0;
+    // Part of the time to the first token that a slow engine lengthens whatever its load: a prompt of 6,600 tokens at
+    // 61 a
+    // millisecond. Without it, the factor of a server without known load would have no effect.
+    private static final double ENGINE_BASE_MILLIS = 108.0;
 
     private BackendSelector() {}
 
@@ -35,6 +38,7 @@
      * @param slots maximum number of requests that the server runs concurrently
      * @param prefixCached true if this host recently sent it a request with the same shared prefix
      * @param failureRate smoothed fraction of requests that failed on the server
+     * @param responseTimeFactor response time of the server relative to the others of its service; 1 if unknown
      */
     public record Candidate<T>(
             T server,
@@ -44,7 +48,30 @@
             int slots,
             boolean prefixCached,
             boolean sameZone,
-            double failureRate) {}
+            double failureRate,
+            double responseTimeFactor) {
+        /** Creates a candidate whose speed is unknown. */
+        public Candidate(
+                T server,
+                long idHash,
+                double requestsInProgress,
+                long pendingPromptTokens,
+                int slots,
+                boolean prefixCached,
+                boolean sameZone,
+                double failureRate) {
+            this(
+                    server,
+                    idHash,
+                    requestsInProgress,
+                    pendingPromptTokens,
+                    slots,
+                    prefixCached,
+                    sameZone,
+                    failureRate,
+                    1);
+        }
+    }
 
     /**
      * Returns the server that should run a request; empty if there are no candidates.
@@ -53,29 +80,48 @@
      * @param sharedTokens length of the shared prefix in tokens; 0 for a plain service
      */
     public static <T> Optional<T> choose(List<Candidate<T>> candidates, long prefixHash, int sharedTokens) {
-        long preferred = candidates.stream()
-                .mapToLong(candidate -> weight(candidate, prefixHash))
-                .max()
-                .orElse(0);
-        return candidates.stream()
-                .min(Comparator.comparingDouble((Candidate<T> candidate) ->
-                                expectedMillis(candidate, sharedTokens, weight(candidate, prefixHash) == preferred))
-                        .thenComparing(candidate -> weight(candidate, prefixHash), Comparator.reverseOrder()))
-                .map(Candidate::server);
+        // A loop over arrays of numbers, since this runs for every request over up to 600 servers.
+        int count = candidates.size();
+        long[] weights = new long[count];
+        long preferred = Long.MIN_VALUE;
+        for (int index = 0; index < count; index++) {
+            weights[index] = weight(candidates.get(index), prefixHash);
+            preferred = Math.max(preferred, weights[index]);
+        }
+        int chosen = -1;
+        double least = Double.POSITIVE_INFINITY;
+        for (int index = 0; index < count; index++) {
+            double millis = expectedMillis(candidates.get(index), sharedTokens, weights[index] == preferred);
+            if (chosen < 0 || millis < least || (millis == least && weights[index] > weights[chosen])) {
+                chosen = index;
+                least = millis;
+            }
+        }
+        return chosen < 0
+                ? Optional.empty()
+                : Optional.of(candidates.get(chosen).server());
     }
 
     private static <T> double expectedMillis(Candidate<T> candidate, int sharedTokens, boolean preferred) {
-        double zoneMillis = candidate.sameZone() ? 0 : OTHER_ZONE_PENALTY_MILLIS;
         double failureMillis = candidate.failureRate() * FAILURE_PENALTY_MILLIS;
         if (sharedTokens == 0) {
+            double zoneMillis = candidate.sameZone() ? 0 : OTHER_ZONE_PENALTY_MILLIS;
             double perSlot = candidate.requestsInProgress() / Math.max(1, candidate.slots());
-            return perSlot * PLAIN_REQUEST_MILLIS + zoneMillis + failureMillis;
+            return atSpeed(perSlot * PLAIN_REQUEST_MILLIS, PLAIN_REQUEST_MILLIS, candidate)
+                    + zoneMillis
+                    + failureMillis;
         }
         boolean cached = preferred || candidate.prefixCached();
         long tokens = candidate.pendingPromptTokens() + (cached ? 0 : sharedTokens);
-        return candidate.requestsInProgress() * ENGINE_REQUEST_MILLIS
-                + tokens / ENGINE_PROMPT_TOKENS_PER_MILLI
-                + failureMillis;
+        double millis =
+                candidate.requestsInProgress() * ENGINE_REQUEST_MILLIS + tokens / ENGINE_PROMPT_TOKENS_PER_MILLI;
+        return atSpeed(millis, ENGINE_BASE_MILLIS, candidate) + failureMillis;
+    }
+
+    // The base time is common to all candidates, so that only its difference from that of a server of usual speed
+    // counts.
+    private static <T> double atSpeed(double millis, double baseMillis, Candidate<T> candidate) {
+        return millis + (candidate.responseTimeFactor() - 1) * (baseMillis + millis);
     }
 
     private static <T> long weight(Candidate<T> candidate, long prefixHash) {
--- a/router/src/main/java/io/heatherloft/router/peers/FleetGossip.java
+++ b/router/src/main/java/io/heatherloft/router/peers/FleetGossip.java
@@ -18,6 +18,7 @@
 import io.heatherloft.ports.loop.Futures;
 import io.heatherloft.ports.loop.Loop;
 import io.heatherloft.router.fleet.BackendRegistry;
+import io.heatherloft.router.fleet.BackendServerState;
 import io.heatherloft.router.fleet.CrashingPrompts;
 import io.heatherloft.router.fleet.CrashingRequests;
 import io.heatherloft.router.fleet.FleetView;
@@ -233,11 +234,13 @@
                 .setAddress(address)
                 .setStopping(stopping);
         reports.addRelay(report);
+        boolean largeFleet = reports.isLargeFleet();
         registry.all().stream()
                 .filter(server -> server.outstanding() > 0)
                 .forEach(server -> report.addLoads(BackendLoad.newBuilder()
                         .setBackendId(server.entry().id())
-                        .setOutstanding(server.outstanding())));
+                        .setOutstanding(server.outstanding())
+                        .setSlowdown(largeFleet ? (float) reportedSpeed(server) : 0)));
         CrashingRequests.News suspects = registry.crashingRequests().news(CRASHES_PER_REPORT);
         suspects.crashes().stream()
                 .filter(crash -> loop.nowMillis() - crash.atMillis() <= CrashNewsCodec.MAX_REPORTED_CRASH_AGE_MILLIS)
@@ -262,6 +265,10 @@
         return report.build();
     }
 
+    private double reportedSpeed(BackendServerState server) {
+        return reports.serverSpeeds().reportedFactor(server.incarnationHash(), loop.nowMillis());
+    }
+
     private void onReply(KnowledgeExchange message) {
         String sender = message.getReportsCount() > 0 ? message.getReports(0).getHost() : "";
         message.getPrefixesList()
@@ -298,7 +305,18 @@
         message.getReportsList().stream().filter(reports::add).forEach(this::applyReport);
     }
 
+    private void applySpeeds(HostReport report) {
+        report.getLoadsList().stream()
+                .filter(load -> load.getSlowdown() > 0)
+                .forEach(load -> registry.find(load.getBackendId()).ifPresent(server -> reports.serverSpeeds()
+                        .recordReport(
+                                server.incarnationHash(),
+                                load.getSlowdown(),
+                                loop.nowMillis() - report.getAgeMillis())));
+    }
+
     private void applyReport(HostReport report) {
+        applySpeeds(report);
         registry.crashingRequests().merge(CrashNewsCodec.decode(report, loop.nowMillis()));
         report.getVersionsList()
                 .forEach(counts -> versions.recordRemoteProgress(
--- a/router/src/main/java/io/heatherloft/router/peers/HostReports.java
+++ b/router/src/main/java/io/heatherloft/router/peers/HostReports.java
@@ -1,8 +1,10 @@
 package io.heatherloft.router.peers;
 
 import io.heatherloft.domain.StableHash;
+import io.heatherloft.domain.route.ServerSpeeds;
 import io.heatherloft.peer.generated.HostReport;
 import io.heatherloft.ports.loop.Loop;
+import io.heatherloft.router.fleet.BackendServerState;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Collections;
@@ -28,6 +30,8 @@
     private static final long MAX_LOAD_AGE_MILLIS = 1_500L;
     // A host that sent no report for this time is no longer contacted or counted.
     private static final long MAX_KNOWN_AGE_MILLIS = 60_000L;
+    // In smaller fleets, loads are known well enough that a slow server shows by its requests in progress.
+    private static final int LARGE_FLEET_HOSTS = 24;
 
     // Time in which another host usually learns of a write.
     private static final long WRITE_STEP_MILLIS = 400L;
@@ -39,6 +43,7 @@
     private final Random random;
     private final Map<String, ReceivedReport> byHost = new HashMap<>();
     private final ServerNotices serverNotices;
+    private final ServerSpeeds serverSpeeds = new ServerSpeeds();
     private String ownZone = "";
     private String ownRelayAddress = "";
     private BooleanSupplier ownCutOff = () -> false;
@@ -56,6 +61,21 @@
         return serverNotices;
     }
 
+    /** Returns the learned speeds of backend servers, which hosts tell each other. */
+    public ServerSpeeds serverSpeeds() {
+        return serverSpeeds;
+    }
+
+    /** Returns the response time of a server relative to the others of its service; 1 if unknown. */
+    public double responseTimeFactor(BackendServerState server) {
+        return serverSpeeds.factor(server.incarnationHash(), loop.nowMillis());
+    }
+
+    /** Returns true if the fleet is so large that the speeds of servers are learned and used. */
+    public boolean isLargeFleet() {
+        return hostCount() >= LARGE_FLEET_HOSTS;
+    }
+
     /**
      * Announces in this host's reports that it connects other hosts to backend servers.
      *
--- a/router/src/main/java/io/heatherloft/router/request/Attempt.java
+++ b/router/src/main/java/io/heatherloft/router/request/Attempt.java
@@ -247,10 +247,20 @@
             execution.onStreamStart(this, status, headers);
         } else {
             responseMode = ResponseMode.BUFFERED;
+            if (status == STATUS_OK && firstByteMillis >= 0) {
+                recordResponseTime(firstByteMillis - sentAtMillis);
+            }
         }
         return true;
     }
 
+    private void recordResponseTime(long millis) {
+        execution
+                .engine()
+                .backendSelector()
+                .recordResponseTime(server, execution.service() + '/' + latencyGroup, millis);
+    }
+
     // A response without an ID may be a late copy of one to an earlier request, if the connection has carried any.
     private boolean isForThisRequest(ResponseMetadata metadata) {
         Optional<String> ownId = execution.metadata().attemptId();
@@ -328,6 +338,7 @@
             }
             if (timeToFirstEventMillis < 0 && execution.relay().relayedCount() > eventsBeforeAttempt) {
                 timeToFirstEventMillis = execution.engine().loop().nowMillis() - sentAtMillis;
+                recordResponseTime(timeToFirstEventMillis);
             }
             if (execution.relay().hasGap()) {
                 abort("gap in the event IDs of the stream");
--- a/router/src/main/java/io/heatherloft/router/request/AttemptBackendSelector.java
+++ b/router/src/main/java/io/heatherloft/router/request/AttemptBackendSelector.java
@@ -118,18 +118,32 @@
      */
     record Selection(BackendServerState server, VersionPolicy.Reason versionReason) {}
 
+    /**
+     * Records the time that a server took to begin its answer.
+     *
+     * @param kind service, route and model of the request
+     * @param firstByteMillis time from the send to the first byte, or the first event of a stream
+     */
+    void recordResponseTime(BackendServerState server, String kind, long firstByteMillis) {
+        hostReports.serverSpeeds().recordResponse(server.incarnationHash(), kind, firstByteMillis, loop.nowMillis());
+    }
+
     private Optional<BackendServerState> selectAmong(
             List<BackendServerState> servers, RequestMetadata metadata, Map<String, Integer> otherLoads) {
         Optional<String> sharedPrefixId = metadata.sharedPrefixId();
         long hash = StableHash.of(sharedPrefixId.or(metadata::attemptId).orElse(""));
+        boolean largeFleet = hostReports.isLargeFleet();
         List<BackendSelector.Candidate<BackendServerState>> candidates = servers.stream()
-                .map(server -> toCandidate(server, sharedPrefixId, otherLoads))
+                .map(server -> toCandidate(server, sharedPrefixId, otherLoads, largeFleet))
                 .toList();
         return BackendSelector.choose(candidates, hash, metadata.sharedPrefixTokens());
     }
 
     private BackendSelector.Candidate<BackendServerState> toCandidate(
-            BackendServerState server, Optional<String> sharedPrefixId, Map<String, Integer> otherLoads) {
+            BackendServerState server,
+            Optional<String> sharedPrefixId,
+            Map<String, Integer> otherLoads,
+            boolean largeFleet) {
         return new BackendSelector.Candidate<>(
                 server,
                 server.idHash(),
@@ -138,6 +152,7 @@
                 server.entry().slots(),
                 sharedPrefixId.map(server::hasRecentPrefix).orElse(false),
                 server.entry().availabilityZone().equals(availabilityZone),
-                server.health().failureRate());
+                server.health().failureRate(),
+                largeFleet ? hostReports.responseTimeFactor(server) : 1);
     }
 }
--- a/router/src/test/java/io/heatherloft/router/peers/LoadedFleet.java
+++ b/router/src/test/java/io/heatherloft/router/peers/LoadedFleet.java
@@ -55,8 +55,7 @@
      * @param speeds speeds of the servers, in turn
      * @param clustered true if callers send groups of requests with one prefix to one host
      */
-    record Shape(
-            String name, int hosts, int servers, int slots, double load, List<Double> speeds, boolean clustered) {}
+    record Shape(String name, int hosts, int servers, int slots, double load, List<Double> speeds, boolean clustered) {}
 
     static final Shape SEVENTY = new Shape("70/98", 70, 98, 12, 1, List.of(1.0), false);
     static final Shape UNEVEN = new Shape("67/63", 67, 63, 48, 1, List.of(0.6, 1.0, 1.6), true);
@@ -74,6 +73,7 @@
         final long prefixHash;
         final double serviceMillis;
         final Set<Integer> tried = new HashSet<>();
+        private long arrivedAtMillis = -1;
 
         Request(Kind kind, String prefix, double serviceMillis) {
             this.kind = kind;
@@ -124,7 +124,10 @@
         final int index;
         double speed;
         boolean present = true;
-        int running;
+        /** Requests that hosts count as in progress. */
+        int inProgress;
+
+        private int running;
         private final Deque<Runnable> queue = new ArrayDeque<>();
         private final Map<String, Integer> cache = new LinkedHashMap<>(16, 0.75f, true);
         private long cachedTokens;
@@ -170,7 +173,7 @@
                     () -> onFirstByte(host, request, this, sentAtMillis));
             gossip.loop.schedule(Math.round(totalMillis / speed), () -> {
                 running--;
-                gossip.loop.schedule(gossip.networkDelayMillis(), () -> onEnd(host, this));
+                gossip.loop.schedule(gossip.networkDelayMillis(), () -> onEnd(host, request, this));
                 if (!queue.isEmpty()) {
                     queue.poll().run();
                 }
@@ -181,6 +184,7 @@
     /** What was measured since the last reset. */
     static final class Measured {
         final List<Double> waits = new ArrayList<>();
+        final List<Double> responses = new ArrayList<>();
         long sends;
         long rejected;
         long refused;
@@ -191,8 +195,20 @@
             return waits.stream().mapToDouble(Double::doubleValue).average().orElse(0);
         }
 
+        double meanResponseMillis() {
+            return responses.stream().mapToDouble(Double::doubleValue).average().orElse(0);
+        }
+
         double waitPercentile(double part) {
-            double[] sorted = waits.stream().mapToDouble(Double::doubleValue).toArray();
+            return percentile(waits, part);
+        }
+
+        double responsePercentile(double part) {
+            return percentile(responses, part);
+        }
+
+        private static double percentile(List<Double> values, double part) {
+            double[] sorted = values.stream().mapToDouble(Double::doubleValue).toArray();
             Arrays.sort(sorted);
             return sorted.length == 0 ? 0 : sorted[(int) (part * (sorted.length - 1))];
         }
@@ -275,6 +291,7 @@
 
     private void arrive(Host host, Request request) {
         if (host.sending) {
+            request.arrivedAtMillis = request.arrivedAtMillis < 0 ? gossip.loop.nowMillis() : request.arrivedAtMillis;
             choice.choose(this, host, request, server -> send(host, request, servers.get(server)));
         }
     }
@@ -284,6 +301,7 @@
         measured.sendsByServer.merge(server.index, 1, Integer::sum);
         BackendServerState state = host.state(server.index);
         state.onRequestStart();
+        server.inProgress++;
         state.recordPrefix(request.prefix, request.kind.sharedTokens());
         long sentAtMillis = gossip.loop.nowMillis();
         gossip.loop.schedule(gossip.networkDelayMillis(), () -> server.receive(host, request, sentAtMillis));
@@ -292,6 +310,7 @@
     private void onRejected(Host host, Request request, Server server) {
         measured.rejected++;
         host.state(server.index).onRequestEnd();
+        server.inProgress--;
         request.tried.add(server.index);
         if (request.tried.size() < MAX_ATTEMPTS) {
             arrive(host, request);
@@ -300,10 +319,21 @@
         }
     }
 
-    private void onFirstByte(Host _host, Request _request, Server _server, long _sentAtMillis) {}
+    private void onFirstByte(Host host, Request request, Server server, long sentAtMillis) {
+        host.member
+                .reports
+                .serverSpeeds()
+                .recordResponse(
+                        host.state(server.index).incarnationHash(),
+                        request.kind.name(),
+                        gossip.loop.nowMillis() - sentAtMillis,
+                        gossip.loop.nowMillis());
+    }
 
-    private void onEnd(Host host, Server server) {
+    private void onEnd(Host host, Request request, Server server) {
+        measured.responses.add((double) (gossip.loop.nowMillis() - request.arrivedAtMillis));
         host.state(server.index).onRequestEnd();
+        server.inProgress--;
     }
 
     /** Sets the factor of all rates. */
--- a/router/src/test/java/io/heatherloft/router/peers/ServerChoices.java
+++ b/router/src/test/java/io/heatherloft/router/peers/ServerChoices.java
@@ -8,7 +8,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.ToDoubleFunction;
-import java.util.stream.IntStream;
 
 /** The ways of choosing a server that are compared. Each is confined to its fleet's thread. */
 final class ServerChoices {
@@ -35,10 +34,8 @@
                 state.outstanding() + others.getOrDefault(state.entry().id(), 0);
     }
 
-    static Loads all(LoadedFleet fleet, LoadedFleet.Host _host) {
-        return (server, _state) -> fleet.hosts.stream()
-                .mapToInt(host -> host.state(server.index).outstanding())
-                .sum();
+    static Loads all(LoadedFleet _fleet, LoadedFleet.Host _host) {
+        return (server, _state) -> server.inProgress;
     }
 
     static Loads own(LoadedFleet _fleet, LoadedFleet.Host _host) {
@@ -87,11 +84,20 @@
 
     /** The present decision, with the candidates of the request engine. */
     static int present(LoadedFleet fleet, LoadedFleet.Host host, LoadedFleet.Request request, Loads loads) {
-        return present(usable(fleet, request), host, request, loads);
+        return present(usable(fleet, request), host, request, loads, _state -> 1);
+    }
+
+    /** The present decision with the learned speeds of the servers. */
+    static int withSpeeds(LoadedFleet fleet, LoadedFleet.Host host, LoadedFleet.Request request, Loads loads) {
+        return present(usable(fleet, request), host, request, loads, host.member.reports::responseTimeFactor);
     }
 
     private static int present(
-            List<LoadedFleet.Server> servers, LoadedFleet.Host host, LoadedFleet.Request request, Loads loads) {
+            List<LoadedFleet.Server> servers,
+            LoadedFleet.Host host,
+            LoadedFleet.Request request,
+            Loads loads,
+            ToDoubleFunction<BackendServerState> responseTimeFactor) {
         List<BackendSelector.Candidate<Integer>> candidates = servers.stream()
                 .map(server -> {
                     BackendServerState state = host.state(server.index);
@@ -103,7 +109,8 @@
                             state.entry().slots(),
                             state.hasRecentPrefix(request.prefix),
                             true,
-                            0);
+                            0,
+                            responseTimeFactor.applyAsDouble(state));
                 })
                 .toList();
         return BackendSelector.choose(candidates, request.prefixHash, request.kind.sharedTokens())
@@ -115,44 +122,11 @@
         return (fleet, host, request, loads) -> {
             long hostHash = StableHash.of(host.member.name);
             List<LoadedFleet.Server> preferred = usable(fleet, request).stream()
-                    .sorted(Comparator.comparingLong(server ->
-                            -(StableHash.mix(host.state(server.index).idHash(), hostHash) >>> 1)))
+                    .sorted(Comparator.comparingLong(
+                            server -> -(StableHash.mix(host.state(server.index).idHash(), hostHash) >>> 1)))
                     .limit(size)
                     .toList();
-            return present(preferred, host, request, loads);
-        };
-    }
-
-    /**
-     * A prefix has a few home servers, the first of them by rendezvous hashing; expected time is that of the present decision plus
-     * the wait for a slot.
-     */
-    static Decision homes(int count, double margin, double slotMillis, double rankMillis) {
-        return (fleet, host, request, loads) -> {
-            List<LoadedFleet.Server> usable = usable(fleet, request);
-            List<LoadedFleet.Server> byWeight = usable.stream()
-                    .sorted(Comparator.comparingLong(server ->
-                            -(StableHash.mix(host.state(server.index).idHash(), request.prefixHash) >>> 1)))
-                    .limit(count)
-                    .toList();
-            ToDoubleFunction<LoadedFleet.Server> millis = server -> {
-                BackendServerState state = host.state(server.index);
-                double load = loads.of(server, state);
-                double overload = Math.max(
-                        0, load + 1 + margin * Math.sqrt(load) - state.entry().slots());
-                int rank = byWeight.indexOf(server);
-                boolean cached = rank >= 0 || state.hasRecentPrefix(request.prefix);
-                double missing = cached ? 0 : request.kind.sharedTokens();
-                return overload * slotMillis / state.entry().slots()
-                        + load * 2
-                        + Math.max(0, rank) * rankMillis
-                        + missing / 22;
-            };
-            return IntStream.range(0, usable.size())
-                    .mapToObj(usable::get)
-                    .min(Comparator.comparingDouble(millis))
-                    .orElseThrow()
-                    .index;
+            return present(preferred, host, request, loads, _state -> 1);
         };
     }
 
@@ -161,8 +135,8 @@
         return (fleet, host, request, loads) -> {
             List<LoadedFleet.Server> usable = usable(fleet, request);
             List<LoadedFleet.Server> homes = usable.stream()
-                    .sorted(Comparator.comparingLong(server ->
-                            -(StableHash.mix(host.state(server.index).idHash(), request.prefixHash) >>> 1)))
+                    .sorted(Comparator.comparingLong(
+                            server -> -(StableHash.mix(host.state(server.index).idHash(), request.prefixHash) >>> 1)))
                     .limit(count)
                     .toList();
             ToDoubleFunction<LoadedFleet.Server> load = server -> loads.of(server, host.state(server.index))
@@ -194,7 +168,8 @@
                 io.heatherloft.ports.loop.Loop.Cancellation _timer = fleet.gossip.loop.repeat(50, () -> {
                     history.add(fleet.hosts.stream()
                             .map(other -> fleet.servers.stream()
-                                    .mapToInt(server -> other.state(server.index).outstanding())
+                                    .mapToInt(
+                                            server -> other.state(server.index).outstanding())
                                     .toArray())
                             .toArray(int[][]::new));
                     while (history.size() > 1 + delayMillis / 50) {
