--- a/router/src/test/java/io/heatherloft/router/peers/ServerChoices.java
+++ b/router/src/test/java/io/heatherloft/router/peers/ServerChoices.java
@@ -156,6 +156,20 @@
         };
     }
 
+    /** Gossip whose counts lose weight with their age, so that old ones need not be left out. */
+    static Knowledge weightedByAge(double millis) {
+        return (_fleet, host) -> {
+            Map<String, Double> others = new HashMap<>();
+            host.member.reports.newest(Integer.MAX_VALUE).forEach(report -> report.getLoadsList()
+                    .forEach(load -> others.merge(
+                            load.getBackendId(),
+                            load.getOutstanding() * Math.exp(-report.getAgeMillis() / millis),
+                            Double::sum)));
+            return (_server, state) ->
+                    state.outstanding() + others.getOrDefault(state.entry().id(), 0.0);
+        };
+    }
+
     /** Loads of all hosts as they were some time ago, and the host's own. */
     static final class Delayed implements Knowledge {
         private final long delayMillis;
