--- a/domain/src/main/java/io/heatherloft/domain/route/BackendSelector.java
+++ b/domain/src/main/java/io/heatherloft/domain/route/BackendSelector.java
@@ -28,10 +28,10 @@
     // millisecond. Without it, the factor of a server without known load would have no effect.
     private static final double ENGINE_BASE_MILLIS = 108.0;
 
-    // Response times include waiting in a server's queue. While servers queue, factors follow the queues with delay, and
-    // hosts that followed them would fill one server after the other: 6.9% of sends were rejected at a load at which none
-    // are without factors. So factors count in full up to the first part of used slots, and not at all from the second
-    // on. Known loads are less than half of the real ones in a fleet of 70 hosts.
+    // Response times include the wait in a server's queue, which factors follow with delay. With factors in full under
+    // heavy load, hosts filled one server after the other: 6.9% of sends were rejected at a load at which none are
+    // without factors. So factors count in full up to the first part of used slots, and not at all from the second.
+    // Known loads are less than half of the real ones in a fleet of 70 hosts.
     private static final double FULL_FACTOR_USE = 0.125;
     private static final double NO_FACTOR_USE = 0.25;
 
