Merge of learned server speeds; the choice of the model by load is reverted

Gossip within zones and cached sums of loads stay. Learned speeds and their measurement: docs/design/server-choice.md.

--- a/router/src/main/java/io/heatherloft/router/peers/HostReports.java
+++ b/router/src/main/java/io/heatherloft/router/peers/HostReports.java
@@ -1,8 +1,10 @@
 package io.heatherloft.router.peers;
 
 import io.heatherloft.domain.StableHash;
+import io.heatherloft.domain.route.ServerSpeeds;
 import io.heatherloft.peer.generated.HostReport;
 import io.heatherloft.ports.loop.Loop;
+import io.heatherloft.router.fleet.BackendServerState;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Collections;
@@ -30,6 +32,10 @@
     private static final long LOADS_CACHE_MILLIS = 20L;
     // A host that sent no report for this time is no longer contacted or counted.
     private static final long MAX_KNOWN_AGE_MILLIS = 60_000L;
+    // In smaller fleets, loads are known well enough that a slow server shows by its requests in progress, and traffic
+    // between
+    // hosts is small.
+    private static final int LARGE_FLEET_HOSTS = 24;
 
     // With 360 hosts, a host hears in a minute of about 60% of the others, in five of nearly all.
     private static final long MAX_REMEMBERED_AGE_MILLIS = 300_000L;
@@ -44,8 +50,9 @@
     private final Random random;
     private final Map<String, ReceivedReport> byHost = new HashMap<>();
     private final ServerNotices serverNotices;
-    private Loads loads = new Loads(Map.of(), 1);
+    private Map<String, Integer> loads = Map.of();
     private long loadsAtMillis = Long.MIN_VALUE / 2;
+    private final ServerSpeeds serverSpeeds = new ServerSpeeds();
     private String ownZone = "";
     private String ownRelayAddress = "";
     private BooleanSupplier ownCutOff = () -> false;
@@ -63,6 +70,21 @@
         return serverNotices;
     }
 
+    /** Returns the learned speeds of backend servers, which hosts tell each other. */
+    public ServerSpeeds serverSpeeds() {
+        return serverSpeeds;
+    }
+
+    /** Returns the response time of a server relative to the others of its service; 1 if unknown. */
+    public double responseTimeFactor(BackendServerState server) {
+        return serverSpeeds.factor(server.incarnationHash(), loop.nowMillis());
+    }
+
+    /** Returns true if the fleet is so large that speeds of servers are learned, and traffic between zones is avoided. */
+    public boolean isLargeFleet() {
+        return hostCount() >= LARGE_FLEET_HOSTS;
+    }
+
     /**
      * Announces in this host's reports that it connects other hosts to backend servers.
      *
@@ -155,7 +177,10 @@
 
     /** Returns the number of hosts, including this one, among which fleet-wide budgets are divided. */
     public int hostCount() {
-        return 1 + known().size();
+        return 1
+                + (int) byHost.values().stream()
+                        .filter(received -> ageOf(received) < MAX_KNOWN_AGE_MILLIS)
+                        .count();
     }
 
     /**
@@ -178,17 +203,9 @@
         return Math.min(MAX_WRITE_TURNS, before) * WRITE_STEP_MILLIS;
     }
 
-    /**
-     * Requests in progress on backend servers, as other hosts reported them.
-     *
-     * @param outstanding number of requests by server ID, summed over recent reports
-     * @param extrapolation number of other hosts that are alive, by the number of those whose reports are recent
-     */
-    public record Loads(Map<String, Integer> outstanding, double extrapolation) {}
-
-    /** Returns the loads in recent reports of other hosts. */
-    public Loads loads() {
-        // Each request asks for them once or more, and summing them up takes longer than all else that a choice needs.
+    /** Returns the number of requests in progress on each backend server, summed over recent reports of other hosts. */
+    public Map<String, Integer> outstandingByBackend() {
+        // Each choice of a server asks for them, and summing them up takes longer than the choice.
         if (loop.nowMillis() - loadsAtMillis >= LOADS_CACHE_MILLIS) {
             loads = sumLoads();
             loadsAtMillis = loop.nowMillis();
@@ -196,20 +213,13 @@
         return loads;
     }
 
-    private Loads sumLoads() {
-        Map<String, Integer> outstanding = new HashMap<>();
-        int recent = 0;
-        int alive = 0;
-        for (ReceivedReport received : byHost.values()) {
-            alive += ageOf(received) < MAX_ALIVE_AGE_MILLIS ? 1 : 0;
-            if (ageOf(received) < MAX_LOAD_AGE_MILLIS) {
-                recent++;
-                received.report()
-                        .getLoadsList()
-                        .forEach(load -> outstanding.merge(load.getBackendId(), load.getOutstanding(), Integer::sum));
-            }
-        }
-        return new Loads(outstanding, recent == 0 ? 1 : (double) alive / recent);
+    private Map<String, Integer> sumLoads() {
+        Map<String, Integer> sums = new HashMap<>();
+        byHost.values().stream()
+                .filter(received -> ageOf(received) < MAX_LOAD_AGE_MILLIS)
+                .flatMap(received -> received.report().getLoadsList().stream())
+                .forEach(load -> sums.merge(load.getBackendId(), load.getOutstanding(), Integer::sum));
+        return sums;
     }
 
     private List<HostReport> youngerThan(long limitMillis) {
--- a/router/src/main/java/io/heatherloft/router/request/AttemptBackendSelector.java
+++ b/router/src/main/java/io/heatherloft/router/request/AttemptBackendSelector.java
@@ -61,23 +61,6 @@
                 : RefusalReason.SERVERS_AT_LIMIT;
     }
 
-    /**
-     * Returns the requests in progress on a service per slot of its servers, as far as known to this host: its own and those in
-     * recent reports, extrapolated to the hosts whose reports are older. 1 if the service has no server.
-     */
-    double load(String service) {
-        List<BackendServerState> servers = usable(service);
-        HostReports.Loads reported = hostReports.loads();
-        double slots = 0;
-        double inProgress = 0;
-        for (BackendServerState server : servers) {
-            slots += server.entry().slots();
-            inProgress += server.outstanding()
-                    + reported.outstanding().getOrDefault(server.entry().id(), 0) * reported.extrapolation();
-        }
-        return slots == 0 ? 1 : inProgress / slots;
-    }
-
     private List<BackendServerState> usable(String service) {
         return staying(service).stream()
                 .filter(server -> !registry.evacuatedZones().contains(server))
@@ -131,7 +114,7 @@
         VersionPolicy.VersionPreference preference = versionPolicies
                 .of(service)
                 .preference(metadata.session(), metadata.attemptId().orElse(""), availableVersions, now);
-        Map<String, Integer> otherLoads = hostReports.loads().outstanding();
+        Map<String, Integer> otherLoads = hostReports.outstandingByBackend();
         List<BackendServerState> eligible = preference.versions().stream()
                 .filter(version -> !triedServers.isVersionSuspect(version))
                 .findFirst()
@@ -161,18 +144,32 @@
      */
     record Selection(BackendServerState server, VersionPolicy.Reason versionReason) {}
 
+    /**
+     * Records the time that a server took to begin its answer.
+     *
+     * @param kind service, route and model of the request
+     * @param firstByteMillis time from the send to the first byte, or the first event of a stream
+     */
+    void recordResponseTime(BackendServerState server, String kind, long firstByteMillis) {
+        hostReports.serverSpeeds().recordResponse(server.incarnationHash(), kind, firstByteMillis, loop.nowMillis());
+    }
+
     private Optional<BackendServerState> selectAmong(
             List<BackendServerState> servers, RequestMetadata metadata, Map<String, Integer> otherLoads) {
         Optional<String> sharedPrefixId = metadata.sharedPrefixId();
         long hash = StableHash.of(sharedPrefixId.or(metadata::attemptId).orElse(""));
+        boolean largeFleet = hostReports.isLargeFleet();
         List<BackendSelector.Candidate<BackendServerState>> candidates = servers.stream()
-                .map(server -> toCandidate(server, sharedPrefixId, otherLoads))
+                .map(server -> toCandidate(server, sharedPrefixId, otherLoads, largeFleet))
                 .toList();
         return BackendSelector.choose(candidates, hash, metadata.sharedPrefixTokens());
     }
 
     private BackendSelector.Candidate<BackendServerState> toCandidate(
-            BackendServerState server, Optional<String> sharedPrefixId, Map<String, Integer> otherLoads) {
+            BackendServerState server,
+            Optional<String> sharedPrefixId,
+            Map<String, Integer> otherLoads,
+            boolean largeFleet) {
         return new BackendSelector.Candidate<>(
                 server,
                 server.idHash(),
@@ -181,6 +178,7 @@
                 server.entry().slots(),
                 sharedPrefixId.map(server::hasRecentPrefix).orElse(false),
                 server.entry().availabilityZone().equals(availabilityZone),
-                server.health().failureRate());
+                server.health().failureRate(),
+                largeFleet ? hostReports.responseTimeFactor(server) : 1);
     }
 }
--- a/router/src/main/java/io/heatherloft/router/request/RequestExecution.java
+++ b/router/src/main/java/io/heatherloft/router/request/RequestExecution.java
@@ -77,9 +77,6 @@
     void start() {
         exchange.setListener(this);
         deadlineTimer = engine.loop().schedule(deadlineAtMillis - engine.loop().nowMillis(), this::onDeadline);
-        if (cascade.hasLargerModel()) {
-            cascade.begin(engine.backendSelector().load(service), priority());
-        }
         dispatch();
     }
 
@@ -178,8 +175,7 @@
         if (!isCurrent(running) || streamStarted || !cascade.hasLargerModel() || !hasServer()) {
             return true;
         }
-        boolean sufficient =
-                cascade.isSufficient(confidence, engine.backendSelector().load(service));
+        boolean sufficient = cascade.isSufficient(confidence);
         engine.log().request("confidence", metadata.attemptId().orElse(""), line -> line.with("route", route.name())
                 .with("model", cascade.currentModel().orElse(""))
                 .with("prompt_tokens", metadata.promptTokens())
--- a/router/src/test/java/io/heatherloft/router/peers/HostReportsTest.java
+++ b/router/src/test/java/io/heatherloft/router/peers/HostReportsTest.java
@@ -67,7 +67,7 @@
             Map<String, Integer> expected = new HashMap<>();
             newest.values()
                     .forEach(reported -> reported.forEach((id, count) -> expected.merge(id, count, Integer::sum)));
-            assertThat(reports.loads().outstanding()).isEqualTo(expected);
+            assertThat(reports.outstandingByBackend()).isEqualTo(expected);
         }
 
         @Test
@@ -78,9 +78,24 @@
                     .setSequence(1)
                     .addLoads(BackendLoad.newBuilder().setBackendId("i1").setOutstanding(4))
                     .build());
-            assertThat(reports.loads().outstanding()).containsExactly("i1", 4);
+            assertThat(reports.outstandingByBackend()).containsExactly("i1", 4);
             loop.now += 1_500;
-            assertThat(reports.loads().outstanding()).isEmpty();
+            assertThat(reports.outstandingByBackend()).isEmpty();
+        }
+    }
+
+    @Nested
+    final class ALargeFleet {
+        // Small fleets keep the selection by load alone.
+        @Test
+        void has_at_least_24_hosts_including_this_one() {
+            HostReports reports = new HostReports(new ManualClockLoop(), "self");
+            IntStream.range(0, 22)
+                    .forEach(host -> reports.add(
+                            HostReport.newBuilder().setHost("h" + host).build()));
+            assertThat(reports.isLargeFleet()).isFalse();
+            reports.add(HostReport.newBuilder().setHost("h22").build());
+            assertThat(reports.isLargeFleet()).isTrue();
         }
     }
 
