Requests ask for admission before a server is selected

Change: with EngineSettings.admissionControl, RequestExecution asks AdmissionControl, which sends, keeps or refuses the request (NO_CAPACITY, 503, computed Retry-After). Hosts count the tokens held on each server and report them; HostReports sums them by age. Without the setting no tokens are counted and requests take the same way as before.

--- a/entry/src/test/java/io/heatherloft/entry/EntryHostHarness.java
+++ b/entry/src/test/java/io/heatherloft/entry/EntryHostHarness.java
@@ -50,6 +50,7 @@
     private final Map<String, Integer> backendPorts = new LinkedHashMap<>();
     private final int storePort;
     long sessionIdleTimeoutMillis = 5_000L;
+    boolean admissionControl;
 
     EntryHostHarness() {
         store = new StoreStandIn(loop.loop());
@@ -147,7 +148,7 @@
                 10_000L,
                 2_000L,
                 Optional.empty(),
-                false,
+                admissionControl,
                 0);
         EntryHost host = EntryHost.start(settings, EntryHost.newLogQueue(), earlyListener, 0, serverAddresses);
         hosts.add(host);
--- a/router/src/main/java/io/heatherloft/router/fleet/BackendServerState.java
+++ b/router/src/main/java/io/heatherloft/router/fleet/BackendServerState.java
@@ -23,6 +23,9 @@
     private boolean missing;
     private int outstanding;
     private long pendingPromptTokens;
+    private long heldTokens;
+    private long reservedTokens;
+    private long lastRejectedMillis = Long.MIN_VALUE;
     private long lastReceivedMillis;
 
     BackendServerState(BackendRegistration entry, StoreRevision revision) {
@@ -122,6 +125,39 @@
         pendingPromptTokens += tokens;
     }
 
+    /**
+     * Returns the number of tokens of this host's requests in progress on the server, with those that it keeps free for a
+     * waiting request; 0 if tokens are not counted.
+     */
+    public long claimedTokens() {
+        return heldTokens + reservedTokens;
+    }
+
+    /** Returns the number of tokens of this host's requests in progress on the server; 0 if tokens are not counted. */
+    public long heldTokens() {
+        return heldTokens;
+    }
+
+    /** Adds the tokens of a request when it is sent; called with the negative number when it ends. */
+    public void addHeldTokens(long tokens) {
+        heldTokens += tokens;
+    }
+
+    /** Sets the number of tokens that this host keeps free on the server for a waiting request; 0 for none. */
+    public void setReservedTokens(long tokens) {
+        reservedTokens = tokens;
+    }
+
+    /** Called when the server has rejected a request of this host without executing it. */
+    public void onRejected(long nowMillis) {
+        lastRejectedMillis = nowMillis;
+    }
+
+    /** Returns true if the server has rejected a request of this host after a time. */
+    public boolean hasRejectedSince(long sinceMillis) {
+        return lastRejectedMillis > sinceMillis;
+    }
+
     /** Called when a request on the server has ended. */
     public void onRequestEnd() {
         outstanding--;
--- a/router/src/main/java/io/heatherloft/router/peers/FleetGossip.java
+++ b/router/src/main/java/io/heatherloft/router/peers/FleetGossip.java
@@ -234,10 +234,11 @@
                 .setStopping(stopping);
         reports.addRelay(report);
         registry.all().stream()
-                .filter(server -> server.outstanding() > 0)
+                .filter(server -> server.outstanding() > 0 || server.claimedTokens() > 0)
                 .forEach(server -> report.addLoads(BackendLoad.newBuilder()
                         .setBackendId(server.entry().id())
-                        .setOutstanding(server.outstanding())));
+                        .setOutstanding(server.outstanding())
+                        .setTokens(server.claimedTokens())));
         CrashingRequests.News suspects = registry.crashingRequests().news(CRASHES_PER_REPORT);
         suspects.crashes().stream()
                 .filter(crash -> loop.nowMillis() - crash.atMillis() <= CrashNewsCodec.MAX_REPORTED_CRASH_AGE_MILLIS)
--- a/router/src/main/java/io/heatherloft/router/peers/HostReports.java
+++ b/router/src/main/java/io/heatherloft/router/peers/HostReports.java
@@ -26,8 +26,12 @@
     private static final long MAX_ALIVE_AGE_MILLIS = 3_000L;
     // Load figures older than this are outdated and not used.
     private static final long MAX_LOAD_AGE_MILLIS = 1_500L;
+    // Load figures older than this are used, but a server may have become free since.
+    private static final long MAX_RECENT_LOAD_AGE_MILLIS = 500L;
     // A host that sent no report for this time is no longer contacted or counted.
     private static final long MAX_KNOWN_AGE_MILLIS = 60_000L;
+    // Hosts are hashed this often at most, since a check of waiting requests comes every 20 ms.
+    private static final long KNOWN_HOSTS_REFRESH_MILLIS = 500L;
 
     // Time in which another host usually learns of a write.
     private static final long WRITE_STEP_MILLIS = 400L;
@@ -42,6 +46,11 @@
     private String ownZone = "";
     private String ownRelayAddress = "";
     private BooleanSupplier ownCutOff = () -> false;
+    private Runnable reportListener = () -> {};
+    private Map<String, ReportedLoad> reportedLoads = Map.of();
+    private long reportedLoadsValidUntilMillis = Long.MIN_VALUE;
+    private List<Long> knownHostHashes = List.of();
+    private long knownHostHashesValidUntilMillis = Long.MIN_VALUE;
 
     /** Creates an empty collection; reports of the host named {@code self} are ignored. */
     public HostReports(Loop loop, String self) {
@@ -104,6 +113,8 @@
                                 && report.getSequence() > known.report().getSequence()));
         if (newer) {
             byHost.put(report.getHost(), new ReceivedReport(report, loop.nowMillis() - report.getAgeMillis()));
+            reportedLoadsValidUntilMillis = Long.MIN_VALUE;
+            reportListener.run();
         }
         return newer;
     }
@@ -165,6 +176,78 @@
         return loads;
     }
 
+    /**
+     * Load of a backend server, summed over recent reports of other hosts.
+     *
+     * @param requests requests in progress
+     * @param recentRequests the part of them that was reported in the last 500 ms
+     * @param tokens tokens that these requests hold, or that are kept free for waiting ones; 0 if hosts do not count them
+     * @param oldestMillis time of the oldest report among them
+     */
+    public record ReportedLoad(int requests, int recentRequests, long tokens, long oldestMillis) {
+        /** Load of a server that no other host uses. */
+        public static final ReportedLoad NONE = new ReportedLoad(0, 0, 0, Long.MAX_VALUE);
+
+        private ReportedLoad plus(ReportedLoad other) {
+            return new ReportedLoad(
+                    requests + other.requests,
+                    recentRequests + other.recentRequests,
+                    tokens + other.tokens,
+                    Math.min(oldestMillis, other.oldestMillis));
+        }
+    }
+
+    /** Returns the load of each backend server that other hosts use. The sums are kept until a report comes or ages. */
+    public Map<String, ReportedLoad> reportedLoads() {
+        long now = loop.nowMillis();
+        if (now >= reportedLoadsValidUntilMillis) {
+            Map<String, ReportedLoad> loads = new HashMap<>();
+            reportedLoadsValidUntilMillis = Long.MAX_VALUE;
+            byHost.values().stream()
+                    .filter(received -> ageOf(received) < MAX_LOAD_AGE_MILLIS)
+                    .forEach(received -> {
+                        boolean recent = ageOf(received) < MAX_RECENT_LOAD_AGE_MILLIS;
+                        long limitMillis = recent ? MAX_RECENT_LOAD_AGE_MILLIS : MAX_LOAD_AGE_MILLIS;
+                        reportedLoadsValidUntilMillis =
+                                Math.min(reportedLoadsValidUntilMillis, received.createdAtMillis() + limitMillis);
+                        received.report()
+                                .getLoadsList()
+                                .forEach(load -> loads.merge(
+                                        load.getBackendId(),
+                                        new ReportedLoad(
+                                                load.getOutstanding(),
+                                                recent ? load.getOutstanding() : 0,
+                                                load.getTokens(),
+                                                received.createdAtMillis()),
+                                        ReportedLoad::plus));
+                    });
+            reportedLoads = loads;
+        }
+        return reportedLoads;
+    }
+
+    /** Sets what is called when a report of another host has been added; it must not take long. */
+    public void onReport(Runnable listener) {
+        reportListener = listener;
+    }
+
+    /** Returns hashes of the names of the other hosts that reported in the last minute, in ascending order. */
+    public List<Long> knownHostHashes() {
+        if (loop.nowMillis() >= knownHostHashesValidUntilMillis) {
+            knownHostHashesValidUntilMillis = loop.nowMillis() + KNOWN_HOSTS_REFRESH_MILLIS;
+            knownHostHashes = known().stream()
+                    .map(report -> StableHash.of(report.getHost()))
+                    .sorted()
+                    .toList();
+        }
+        return knownHostHashes;
+    }
+
+    /** Returns a hash of this host's name. */
+    public long selfHash() {
+        return StableHash.of(self);
+    }
+
     private List<HostReport> youngerThan(long limitMillis) {
         return byHost.values().stream()
                 .filter(received -> ageOf(received) < limitMillis)
--- a/router/src/main/java/io/heatherloft/router/request/Attempt.java
+++ b/router/src/main/java/io/heatherloft/router/request/Attempt.java
@@ -56,6 +56,7 @@
     private Loop.Cancellation inactivityTimer = () -> {};
     private final long eventsBeforeAttempt;
     private long pendingPromptTokens;
+    private final long heldTokens;
     private String latencyGroup = "";
     private boolean contentReceived;
     private boolean stalled;
@@ -66,13 +67,16 @@
      *
      * @param selection server that runs the attempt, and the reason for its version
      * @param pendingPromptTokens prompt tokens that the server has to process before it responds
+     * @param heldTokens tokens that the server holds until the attempt ends; 0 if they are not counted
      */
     Attempt(
             RequestExecution execution,
             AttemptBackendSelector.Selection selection,
             int sendNumber,
-            long pendingPromptTokens) {
+            long pendingPromptTokens,
+            long heldTokens) {
         this.pendingPromptTokens = pendingPromptTokens;
+        this.heldTokens = heldTokens;
         this.execution = execution;
         this.server = selection.server();
         this.versionReason = selection.versionReason();
@@ -109,6 +113,7 @@
         execution.engine().serverNotices().onSend(server);
         execution.engine().versionPolicies().onResponseStart(execution.service(), this);
         server.addPendingPromptTokens(pendingPromptTokens);
+        server.addHeldTokens(heldTokens);
         execution
                 .engine()
                 .log()
@@ -167,7 +172,7 @@
 
     void cancel() {
         if (!ended) {
-            markEnded();
+            markEnded(exchange != null && exchange.isSent());
             response.ifPresent(CrashingPromptDetector.Response::abandon);
             server.health().recordInconclusive();
             execution.engine().versionPolicies().onResponseAbandoned(execution.service(), this);
@@ -192,7 +197,10 @@
     }
 
     private void rejected() {
-        markEnded();
+        if (status != STATUS_MISDIRECTED_REQUEST) {
+            server.onRejected(execution.engine().loop().nowMillis());
+        }
+        markEnded(false);
         server.health().recordInconclusive();
         execution.engine().versionPolicies().onNotExecuted(execution.service(), this);
         execution.onNotExecuted(this, "status " + status);
@@ -230,6 +238,7 @@
         headers = newHeaders;
         recordRequestLimit(metadata);
         recordAvailability(metadata);
+        execution.onResponseBegun();
         if (metadata.notExecuted() || status == STATUS_MISDIRECTED_REQUEST) {
             responseMode = ResponseMode.NOT_EXECUTED;
             response.ifPresent(execution.crashGuard()::onEnd);
@@ -357,7 +366,7 @@
             case NOT_EXECUTED -> rejected();
             case STREAMED -> onStreamEnd();
             case BUFFERED -> {
-                markEnded();
+                markEnded(true);
                 recordOutcome(status >= FIRST_SERVER_ERROR_STATUS);
                 execution.onCompleteResponse(this, status, headers, body);
             }
@@ -375,7 +384,7 @@
             onFailure(new ExchangeFailure(ExchangeFailure.Kind.BROKEN, "connection was closed before any event"));
             return;
         }
-        markEnded();
+        markEnded(true);
         recordOutcome(false);
         execution.onStreamEnd(this);
     }
@@ -394,7 +403,7 @@
         if (failure.kind() != ExchangeFailure.Kind.NOT_SENT) {
             execution.crashGuard().onInterrupted(server, response);
         }
-        markEnded();
+        markEnded(false);
         if (failure.kind() == ExchangeFailure.Kind.NOT_SENT) {
             server.health().recordUnreachable(execution.engine().loop().nowMillis());
             execution.engine().versionPolicies().onNotExecuted(execution.service(), this);
@@ -464,13 +473,15 @@
         return execution.relay().relayedCount() - eventsBeforeAttempt;
     }
 
-    private void markEnded() {
+    private void markEnded(boolean slotFreed) {
         ended = true;
         response.ifPresent(execution.crashGuard()::onEnd);
         inactivityTimer.cancel();
         clearPendingPromptTokens();
         execution.engine().responseBuffers().release(body.readableBytes());
         server.onRequestEnd();
+        server.addHeldTokens(-heldTokens);
+        execution.onAttemptEnded(this, slotFreed);
     }
 
     private enum ResponseMode {
--- a/router/src/main/java/io/heatherloft/router/request/AttemptBackendSelector.java
+++ b/router/src/main/java/io/heatherloft/router/request/AttemptBackendSelector.java
@@ -83,15 +83,8 @@
     Optional<Selection> select(String service, RequestMetadata metadata, TriedServers triedServers) {
         long now = loop.nowMillis();
         List<BackendServerState> ready = usable(service);
-        Set<String> availableVersions =
-                ready.stream().map(server -> server.entry().version()).collect(Collectors.toSet());
-        VersionPolicy.VersionPreference preference = versionPolicies
-                .of(service)
-                .preference(metadata.session(), metadata.attemptId().orElse(""), availableVersions, now);
-        List<BackendServerState> eligible = preference.versions().stream()
-                .filter(version -> !triedServers.isVersionSuspect(version))
-                .findFirst()
-                .or(() -> preference.versions().stream().findFirst())
+        VersionPolicy.VersionPreference preference = preference(service, metadata, versionsOf(ready));
+        List<BackendServerState> eligible = preferredVersion(preference, triedServers)
                 .map(version -> ready.stream()
                         .filter(server -> server.entry().version().equals(version))
                         .filter(hostReports.serverNotices()::mayUse)
@@ -111,6 +104,68 @@
                 .map(server -> new Selection(server, preference.reason()));
     }
 
+    private VersionPolicy.VersionPreference preference(
+            String service, RequestMetadata metadata, Set<String> availableVersions) {
+        return versionPolicies
+                .of(service)
+                .preference(metadata.session(), metadata.attemptId().orElse(""), availableVersions, loop.nowMillis());
+    }
+
+    private static Optional<String> preferredVersion(
+            VersionPolicy.VersionPreference preference, TriedServers triedServers) {
+        return preference.versions().stream()
+                .filter(version -> !triedServers.isVersionSuspect(version))
+                .findFirst()
+                .or(() -> preference.versions().stream().findFirst());
+    }
+
+    private static Set<String> versionsOf(List<BackendServerState> servers) {
+        return servers.stream().map(server -> server.entry().version()).collect(Collectors.toSet());
+    }
+
+    /**
+     * The servers of a service at one moment, for decisions on several requests.
+     *
+     * @param versions versions of all servers that may be used
+     * @param usable these servers
+     * @param healthy servers that may be used, are healthy, and have a share of their limits left for this host
+     */
+    record View(
+            String service, Set<String> versions, List<BackendServerState> usable, List<BackendServerState> healthy) {}
+
+    View view(String service) {
+        long now = loop.nowMillis();
+        List<BackendServerState> usable = usable(service);
+        return new View(
+                service,
+                versionsOf(usable),
+                usable,
+                usable.stream()
+                        .filter(server -> server.health().isAvailable(now))
+                        .filter(hostReports.serverNotices()::mayUse)
+                        .toList());
+    }
+
+    /** Version of the servers that a request uses, and why it was preferred. */
+    record Version(Optional<String> name, VersionPolicy.Reason reason) {
+        boolean isOf(BackendServerState server) {
+            return name.filter(server.entry().version()::equals).isPresent();
+        }
+    }
+
+    Version versionFor(View view, RequestMetadata metadata, TriedServers triedServers) {
+        VersionPolicy.VersionPreference preference = preference(view.service(), metadata, view.versions());
+        return new Version(preferredVersion(preference, triedServers), preference.reason());
+    }
+
+    /** Returns the best of servers that have capacity for a request; empty if there are none. */
+    Optional<Selection> selectAmong(List<BackendServerState> servers, RequestMetadata metadata, Version version) {
+        return servers.isEmpty()
+                ? Optional.empty()
+                : selectAmong(servers, metadata, hostReports.outstandingByBackend())
+                        .map(server -> new Selection(server, version.reason()));
+    }
+
     /**
      * The server selected for an attempt.
      *
--- a/router/src/main/java/io/heatherloft/router/request/RefusalReason.java
+++ b/router/src/main/java/io/heatherloft/router/request/RefusalReason.java
@@ -21,6 +21,8 @@
     SERVERS_AT_LIMIT(503, 1),
     /** All backend servers of the service have asked this host for rest; the delay depends on them. */
     SERVERS_AT_REST(503, 1),
+    /** No backend server has capacity for the request, and it cannot wait for one in time; the delay is computed. */
+    NO_CAPACITY(503, 1),
     /** The backend servers tried refused the request without executing it, or could not be reached. */
     NOT_ACCEPTED(503, 0.3),
     /** The request is blocked because backend servers crashed repeatedly while executing it. */
--- a/router/src/main/java/io/heatherloft/router/request/RequestEngine.java
+++ b/router/src/main/java/io/heatherloft/router/request/RequestEngine.java
@@ -42,6 +42,7 @@
     private final MetricRegistry metrics;
     private final RetryBudgets retryBudgets;
     private final ServerNotices serverNotices;
+    private final Optional<AdmissionControl> admissionControl;
     private final ResponseBuffers responseBuffers = new ResponseBuffers();
     private int inProgress;
 
@@ -70,6 +71,9 @@
         this.retryBudgets = new RetryBudgets(settings.retryRatio(), settings.retryAllowance(), hostReports::hostCount);
         this.backendSelector =
                 new AttemptBackendSelector(loop, registry, versionPolicies, hostReports, settings.availabilityZone());
+        this.admissionControl = settings.admissionControl()
+                ? Optional.of(new AdmissionControl(loop, fleetView, backendSelector, hostReports, log, metrics))
+                : Optional.empty();
     }
 
     @Override
@@ -132,6 +136,10 @@
         return retryBudgets.of(service);
     }
 
+    Optional<AdmissionControl> admissionControl() {
+        return admissionControl;
+    }
+
     ServerNotices serverNotices() {
         return serverNotices;
     }
--- a/router/src/main/java/io/heatherloft/router/request/RequestExecution.java
+++ b/router/src/main/java/io/heatherloft/router/request/RequestExecution.java
@@ -46,6 +46,7 @@
     private Attempt attempt;
     private int sendCount;
     private int connectFailures;
+    private long firstAskedMillis = -1;
     private boolean mayHaveExecuted;
     private boolean streamStarted;
     private boolean ended;
@@ -104,6 +105,37 @@
         return relay;
     }
 
+    TriedServers triedServers() {
+        return triedServers;
+    }
+
+    /** Returns the number of times that the request was sent to a server. */
+    int sendCount() {
+        return sendCount;
+    }
+
+    /**
+     * Returns the time at which the request first asked for admission, or the present one if a server may have executed it
+     * since: a request that servers only reject does not wait longer than others.
+     */
+    long firstAskedMillis(long nowMillis) {
+        firstAskedMillis = mayHaveExecuted || firstAskedMillis < 0 ? nowMillis : firstAskedMillis;
+        return firstAskedMillis;
+    }
+
+    String workspace() {
+        return keyHolder.map(KeyHolder::workspace).orElse("");
+    }
+
+    /** Returns the priority of the request, 0 being the highest. */
+    int priority() {
+        return keyHolder.map(holder -> holder.priorityOn(route)).orElseGet(route::priority);
+    }
+
+    long deadlineAtMillis() {
+        return deadlineAtMillis;
+    }
+
     /** Returns true if the request was sent to the server before, without a usable response. */
     boolean hasTried(BackendServerState server) {
         return triedServers.contains(server.entry().id());
@@ -123,13 +155,27 @@
             fail(blocked.get());
             return;
         }
+        if (engine.admissionControl().isPresent()) {
+            engine.admissionControl().get().request(this);
+        } else {
+            sendToBestServer();
+        }
+    }
+
+    /** Sends the request to the best server, whether or not it has capacity. */
+    void sendToBestServer() {
         Optional<AttemptBackendSelector.Selection> selected =
                 engine.backendSelector().select(service, metadata, triedServers);
         if (selected.isEmpty()) {
             fail(engine.backendSelector().reasonForNoServer(service));
-            return;
+        } else {
+            send(selected.get());
         }
-        BackendServerState server = selected.get().server();
+    }
+
+    /** Sends the request to a server; called by the admission control if it has waited. */
+    void send(AttemptBackendSelector.Selection selected) {
+        BackendServerState server = selected.server();
         recordSession(server);
         long pendingPromptTokens = pendingPromptTokens(server);
         metadata.sharedPrefixId().ifPresent(part -> server.recordPrefix(part, metadata.sharedPrefixTokens()));
@@ -137,7 +183,14 @@
         if (sendCount == 1) {
             engine.retryBudget(service).recordRequest();
         }
-        attempt = new Attempt(this, selected.get(), sendCount, pendingPromptTokens);
+        attempt = new Attempt(
+                this,
+                selected,
+                sendCount,
+                pendingPromptTokens,
+                engine.admissionControl()
+                        .map(admission -> admission.onSend(this))
+                        .orElse(0L));
         attempt.send(new DispatchMetadata(
                 server.entry().id(),
                 timeLeftMillis(),
@@ -147,6 +200,34 @@
                 relay.lastEventId()));
     }
 
+    /**
+     * Returns true if the request may still be sent after it has waited; otherwise it has been ended, since servers have
+     * crashed on it meanwhile.
+     */
+    boolean checkAfterWait() {
+        crashGuard.reasonToBlock().ifPresent(this::fail);
+        return !ended;
+    }
+
+    /** Ends the request because there is no capacity for it. */
+    void refuseForCapacity(double retryAfterSeconds) {
+        fail(RefusalReason.NO_CAPACITY, retryAfterSeconds);
+    }
+
+    /** Called when a server has begun to respond to an attempt, or rejects it. */
+    void onResponseBegun() {
+        engine.admissionControl().ifPresent(admission -> admission.onResponseBegun(this));
+    }
+
+    /**
+     * Called when an attempt has ended in any way.
+     *
+     * @param slotFreed true if the server had executed the request until then
+     */
+    void onAttemptEnded(Attempt ending, boolean slotFreed) {
+        engine.admissionControl().ifPresent(admission -> admission.onAttemptEnded(this, ending, slotFreed));
+    }
+
     // A session's idle time counts from the end of its last request, so the end is recorded as well as the dispatch.
     private void recordSession(BackendServerState server) {
         metadata.session().ifPresent(session -> engine.versionPolicies()
@@ -159,10 +240,7 @@
     }
 
     private OptionalInt urgency() {
-        return route.repeatPolicy().isStream()
-                ? OptionalInt.of(
-                        keyHolder.map(holder -> holder.priorityOn(route)).orElseGet(route::priority))
-                : OptionalInt.empty();
+        return route.repeatPolicy().isStream() ? OptionalInt.of(priority()) : OptionalInt.empty();
     }
 
     /**
@@ -327,6 +405,14 @@
     }
 
     private void fail(RefusalReason reason) {
+        fail(
+                reason,
+                reason == RefusalReason.SERVERS_AT_REST
+                        ? engine.backendSelector().secondsUntilRestEnds(service, metadata)
+                        : reason.retryAfterSeconds());
+    }
+
+    private void fail(RefusalReason reason, double retryAfterSeconds) {
         if (ended) {
             return;
         }
@@ -343,9 +429,7 @@
                     exchange,
                     engine.headerCodec().localReplyHeaders(metadata),
                     effectiveReason,
-                    effectiveReason == RefusalReason.SERVERS_AT_REST
-                            ? engine.backendSelector().secondsUntilRestEnds(service, metadata)
-                            : effectiveReason.retryAfterSeconds());
+                    effectiveReason == reason ? retryAfterSeconds : effectiveReason.retryAfterSeconds());
         }
     }
 
@@ -369,6 +453,7 @@
     private void finish(String outcome, int status) {
         ended = true;
         deadlineTimer.cancel();
+        engine.admissionControl().ifPresent(admission -> admission.withdraw(this));
         if (attempt != null) {
             recordSession(attempt.server());
         }
--- a/router/src/main/java/io/heatherloft/router/request/RequestMetadata.java
+++ b/router/src/main/java/io/heatherloft/router/request/RequestMetadata.java
@@ -20,6 +20,7 @@
  * @param lastEventId ID of the last event that the caller has received, if it resumes a stream
  * @param promptTokens number of prompt tokens; 0 if not stated
  * @param expectedOutputTokens expected number of output tokens; 0 if not stated
+ * @param maxOutputTokens maximum number of output tokens; 0 if not stated
  * @param promptSegments segments of the prompt in order; all but the last can be shared with other requests
  */
 public record RequestMetadata(
@@ -30,6 +31,7 @@
         OptionalLong lastEventId,
         int promptTokens,
         int expectedOutputTokens,
+        int maxOutputTokens,
         List<PromptSegment> promptSegments) {
 
     private static final Pattern HEXADECIMAL_ID = Pattern.compile("[0-9a-fA-F]{1,16}");
@@ -48,6 +50,16 @@
         }
     }
 
+    /**
+     * Returns the number of tokens that a server holds for the request: those of the prompt, and twice the expected output
+     * tokens or the maximum if that is smaller.
+     */
+    public long heldTokens() {
+        long maximum = maxOutputTokens > 0 ? maxOutputTokens : Long.MAX_VALUE;
+        long output = expectedOutputTokens > 0 ? 2L * expectedOutputTokens : Math.max(0, maxOutputTokens);
+        return Math.max(0, promptTokens) + Math.min(output, maximum);
+    }
+
     /** Returns the IDs of the prompt's segments in order, separated by commas. */
     String promptPartIds() {
         return promptSegments.stream().map(PromptSegment::id).collect(Collectors.joining(","));
--- a/router/src/test/java/io/heatherloft/router/peers/HostReportsTest.java
+++ b/router/src/test/java/io/heatherloft/router/peers/HostReportsTest.java
@@ -84,6 +84,43 @@
         }
     }
 
+    @Nested
+    final class ReportedLoads {
+        private final ManualClockLoop loop = new ManualClockLoop();
+        private final HostReports reports = new HostReports(loop, "self");
+
+        private void add(String host, int sequence, int requests, long tokens, int ageMillis) {
+            reports.add(HostReport.newBuilder()
+                    .setHost(host)
+                    .setSequence(sequence)
+                    .setAgeMillis(ageMillis)
+                    .addLoads(BackendLoad.newBuilder()
+                            .setBackendId("i1")
+                            .setOutstanding(requests)
+                            .setTokens(tokens))
+                    .build());
+        }
+
+        // Guards against sums that are kept although a report has come, has aged, or has been dropped.
+        @Test
+        void are_the_sums_of_requests_and_tokens_by_age() {
+            long now = loop.nowMillis();
+            add("h1", 1, 4, 9_000, 300);
+            add("h2", 1, 2, 500, 1_000);
+            assertThat(reports.reportedLoads())
+                    .containsExactly("i1", new HostReports.ReportedLoad(6, 4, 9_500, now - 1_000));
+            loop.now += 200;
+            assertThat(reports.reportedLoads())
+                    .containsExactly("i1", new HostReports.ReportedLoad(6, 0, 9_500, now - 1_000));
+            loop.now += 300;
+            assertThat(reports.reportedLoads())
+                    .containsExactly("i1", new HostReports.ReportedLoad(4, 0, 9_000, now - 300));
+            add("h1", 2, 1, 70, 0);
+            assertThat(reports.reportedLoads())
+                    .containsExactly("i1", new HostReports.ReportedLoad(1, 1, 70, now + 500));
+        }
+    }
+
     @Nested
     final class RelayAddresses {
         private final HostReports reports = new HostReports(new ManualClockLoop(), "self");
