--- a/entry/src/test/java/io/heatherloft/entry/EntryHostHarness.java
+++ b/entry/src/test/java/io/heatherloft/entry/EntryHostHarness.java
@@ -52,6 +52,7 @@
     private final int storePort;
     long sessionIdleTimeoutMillis = 5_000L;
     Optional<ColdServerBound> coldBound = Optional.empty();
+    boolean admissionControl;
 
     EntryHostHarness() {
         store = new StoreStandIn(loop.loop());
@@ -149,7 +150,7 @@
                 10_000L,
                 2_000L,
                 coldBound,
-                false,
+                admissionControl,
                 0);
         EntryHost host = EntryHost.start(settings, EntryHost.newLogQueue(), earlyListener, 0, serverAddresses);
         hosts.add(host);
--- a/router/src/main/java/io/heatherloft/router/peers/ColdServerGuard.java
+++ b/router/src/main/java/io/heatherloft/router/peers/ColdServerGuard.java
@@ -242,6 +242,17 @@
         return usable;
     }
 
+    /** Returns true if this host may send a server a request now, whatever its priority. */
+    public boolean mayUse(BackendServerState server) {
+        Optional<ServiceDefinition> guarded = guarded(server);
+        if (guarded.isEmpty() || !isCold(server)) {
+            return true;
+        }
+        ColdServers cold = coldServers.orElseThrow();
+        readHosts(cold);
+        return cold.mayUse(server.idHash(), guarded.get().coldRequestsPerSecond(), loop.nowMillis());
+    }
+
     /** Records that a request is sent to a server. */
     public void onSend(BackendServerState server) {
         coldServers.ifPresent(cold -> cold.recordSend(server.idHash()));
--- a/router/src/main/java/io/heatherloft/router/peers/FleetGossip.java
+++ b/router/src/main/java/io/heatherloft/router/peers/FleetGossip.java
@@ -266,11 +266,12 @@
         reports.addRelay(report);
         boolean largeFleet = reports.isLargeFleet();
         registry.all().stream()
-                .filter(server -> server.outstanding() > 0)
+                .filter(server -> server.outstanding() > 0 || server.claimedTokens() > 0)
                 .forEach(server -> report.addLoads(BackendLoad.newBuilder()
                         .setBackendId(server.entry().id())
                         .setOutstanding(server.outstanding())
-                        .setSlowdown(largeFleet ? (float) reportedSpeed(server) : 0)));
+                        .setSlowdown(largeFleet ? (float) reportedSpeed(server) : 0)
+                        .setTokens(server.claimedTokens())));
         CrashingRequests.News suspects = registry.crashingRequests().news(CRASHES_PER_REPORT);
         suspects.crashes().stream()
                 .filter(crash -> loop.nowMillis() - crash.atMillis() <= CrashNewsCodec.MAX_REPORTED_CRASH_AGE_MILLIS)
