Faults found in the review of evacuations and cold servers

Cause, found by reading: a request that waited for its connection was sent although the zone had been evacuated meanwhile; requests were refused while the servers of one version were cold and those of another allowed one were not; closed idle connections and lost relays made servers count as cold; an entry written before a failure ended the cold time of a server that starts later; checks of failed servers had no bound and went to evacuated zones; callers were told to come back at once while all servers were down. Change: each is mended where it was found.

--- a/domain/src/main/java/io/heatherloft/domain/route/ColdServers.java
+++ b/domain/src/main/java/io/heatherloft/domain/route/ColdServers.java
@@ -90,15 +90,17 @@
      * Records that the entry of a server was written, which shows that the server is up.
      *
      * @param coldMillis time for which the entry says that the server is cold
+     * @param coldStartMillis time for which a server of its service is cold after a start
      * @return true if the server did not count as cold before and does now
      */
-    public boolean recordEntry(long server, long coldMillis, long nowMillis) {
+    public boolean recordEntry(long server, long coldMillis, long coldStartMillis, long nowMillis) {
         if (coldMillis <= 0 && !servers.containsKey(server)) {
             return false;
         }
         State state = stateOf(server, nowMillis);
         boolean coldBefore = state.isCold(nowMillis);
-        state.down = false;
+        // An entry may have been written before the failure, and its server may start after it was read.
+        markUp(state, coldStartMillis, nowMillis);
         // An entry may have been written before the newest response.
         state.statedUntilMillis = Math.max(state.statedUntilMillis, nowMillis + limited(coldMillis));
         return becameCold(state, coldBefore, nowMillis);
@@ -107,15 +109,16 @@
     /**
      * Records that a server has responded and says for how long it will be cold.
      *
+     * @param coldStartMillis time for which a server of its service is cold after a start
      * @return true if the server did not count as cold before and does now
      */
-    public boolean recordStatement(long server, long coldMillis, long nowMillis) {
+    public boolean recordStatement(long server, long coldMillis, long coldStartMillis, long nowMillis) {
         if (coldMillis <= 0 && !servers.containsKey(server)) {
             return false;
         }
         State state = stateOf(server, nowMillis);
         boolean coldBefore = state.isCold(nowMillis);
-        state.down = false;
+        markUp(state, coldStartMillis, nowMillis);
         state.statedUntilMillis = nowMillis + limited(coldMillis);
         return becameCold(state, coldBefore, nowMillis);
     }
@@ -124,13 +127,19 @@
      * Records that a server is up, without a statement whether it is cold. If it has failed since it was last known to be up,
      * it may just have started.
      *
-     * @param coldMillis time for which a server of its service is cold after a start
+     * @param coldStartMillis time for which a server of its service is cold after a start
      */
-    public void recordUp(long server, long coldMillis, long nowMillis) {
+    public void recordUp(long server, long coldStartMillis, long nowMillis) {
         State state = servers.get(server);
-        if (state != null && state.down) {
+        if (state != null) {
+            markUp(state, coldStartMillis, nowMillis);
+        }
+    }
+
+    private static void markUp(State state, long coldStartMillis, long nowMillis) {
+        if (state.down) {
             state.down = false;
-            state.failedUntilMillis = nowMillis + coldMillis + MARGIN_MILLIS;
+            state.failedUntilMillis = nowMillis + coldStartMillis + MARGIN_MILLIS;
         }
     }
 
@@ -251,7 +260,7 @@
         State state = refill(server, requestsPerSecond, nowMillis);
         return state.earning
                 ? (long) Math.ceil((MAX_TOKENS - state.tokens) / tokensPerSecond(requestsPerSecond) * MILLIS_PER_SECOND)
-                : remainingMillis(server, nowMillis);
+                : Math.max(remainingMillis(server, nowMillis), state.down ? CHECK_INTERVAL_MILLIS : 0);
     }
 
     private State refill(long server, double requestsPerSecond, long nowMillis) {
--- a/entry/src/main/java/io/heatherloft/entry/EntryHost.java
+++ b/entry/src/main/java/io/heatherloft/entry/EntryHost.java
@@ -163,7 +163,7 @@
                 .filter(server -> server.endpoint().equals(endpoint))
                 .filter(server -> !registry.evacuatedZones().contains(server))
                 .isPresent());
-        backendPool.keepIdleIf(endpoint -> registry.find(endpoint.id())
+        backendPool.useOnly(endpoint -> registry.find(endpoint.id())
                 .filter(registry.evacuatedZones()::contains)
                 .isEmpty());
         registry.evacuatedZones().addBeginListener(zone -> registry.inZone(zone)
--- a/router/src/main/java/io/heatherloft/router/backend/BackendConnection.java
+++ b/router/src/main/java/io/heatherloft/router/backend/BackendConnection.java
@@ -105,7 +105,12 @@
         } else if (active != null) {
             FullHttpRequest request = pendingRequest;
             pendingRequest = null;
-            write(request);
+            if (pool.mayUse(endpoint)) {
+                write(request);
+            } else {
+                request.release();
+                fail(ExchangeFailure.Kind.NOT_SENT, "no request may be sent to the server any more");
+            }
         }
     }
 
--- a/router/src/main/java/io/heatherloft/router/backend/BackendConnectionPool.java
+++ b/router/src/main/java/io/heatherloft/router/backend/BackendConnectionPool.java
@@ -64,7 +64,7 @@
     private RelayClient relay;
     private Consumer<Boolean> linkListener = _lost -> {};
     private Consumer<String> unsolicitedListener = _serverId -> {};
-    private Predicate<BackendEndpoint> mayStayIdle = _endpoint -> true;
+    private Predicate<BackendEndpoint> mayUse = _endpoint -> true;
     private long lastReceivedMillis;
     private long nextQuietProbeMillis;
     private boolean cutOff;
@@ -121,9 +121,16 @@
         unsolicitedListener = listener;
     }
 
-    /** Sets which connections are kept once their exchange has ended; the others are closed then. */
-    public void keepIdleIf(Predicate<BackendEndpoint> newMayStayIdle) {
-        mayStayIdle = newMayStayIdle;
+    /**
+     * Sets which servers may be used. Connections to others are closed once their exchange has ended, and requests that still wait
+     * for a connection to them are not sent.
+     */
+    public void useOnly(Predicate<BackendEndpoint> newMayUse) {
+        mayUse = newMayUse;
+    }
+
+    boolean mayUse(BackendEndpoint endpoint) {
+        return mayUse.test(endpoint);
     }
 
     /** Creates a server that connects other hosts to the servers of which {@code isKnown} returns true. */
@@ -176,15 +183,23 @@
                 }));
     }
 
-    /** Opens and closes a connection to a server, through another host if need be, and calls the task if that succeeds. */
+    /**
+     * Opens and closes a connection to a server, through another host if need be, and calls the task if that succeeds. Does nothing
+     * while an earlier check of the server is in progress.
+     */
     public void checkConnectable(BackendEndpoint endpoint, Runnable onConnected) {
+        if (!checkedEndpoints.add(endpoint)) {
+            return;
+        }
         openDirectly(
                 endpoint,
                 channel -> {
+                    checkedEndpoints.remove(endpoint);
                     ChannelFuture _closed = channel.close();
                     onConnected.run();
                 },
                 _failure -> relay.connect(endpoint, outcome -> {
+                    checkedEndpoints.remove(endpoint);
                     closeIfReachable(endpoint, outcome);
                     outcome.channel().ifPresent(_channel -> onConnected.run());
                 }));
@@ -426,7 +441,7 @@
     }
 
     void release(BackendConnection connection) {
-        if (!mayStayIdle.test(connection.endpoint())) {
+        if (!mayUse(connection.endpoint())) {
             connection.close();
             return;
         }
--- a/router/src/main/java/io/heatherloft/router/backend/RelayServer.java
+++ b/router/src/main/java/io/heatherloft/router/backend/RelayServer.java
@@ -122,10 +122,11 @@
                 if (!connecting.isSuccess()) {
                     boolean refused = BackendConnectionPool.isRefusal(connecting.cause());
                     rejectWith(refused ? RelayReply.REFUSED : RelayReply.UNREACHABLE, near);
-                } else if (near.isActive()) {
+                } else if (near.isActive() && isKnown.test(endpoint)) {
                     join(near, connecting.channel());
                 } else {
                     ChannelFuture _closed = connecting.channel().close();
+                    rejectWith(RelayReply.UNAVAILABLE, near);
                 }
             });
         }
--- a/router/src/main/java/io/heatherloft/router/peers/ColdServerGuard.java
+++ b/router/src/main/java/io/heatherloft/router/peers/ColdServerGuard.java
@@ -29,6 +29,8 @@
  */
 public final class ColdServerGuard {
     private static final long TICK_MILLIS = 500L;
+    // Bounds the connections that a host opens while many servers are down.
+    private static final int MAX_CHECKS_PER_TICK = 4;
     // Lists of hosts change by gossip, whose rounds are longer.
     private static final long MAX_HOSTS_AGE_MILLIS = 100L;
     private static final long RETURN_SPREAD_MILLIS = 500L;
@@ -90,7 +92,9 @@
         coldServers.ifPresent(cold -> {
             readHosts(cold);
             registry.all().stream()
+                    .filter(server -> !registry.evacuatedZones().contains(server))
                     .filter(server -> cold.isCheckDue(server.idHash(), now))
+                    .limit(MAX_CHECKS_PER_TICK)
                     .forEach(upCheck);
         });
     }
@@ -113,6 +117,10 @@
                 .filter(service -> service.coldRequestsPerSecond() > 0);
     }
 
+    private long coldStartMillis(BackendServerState server) {
+        return guarded(server).map(ServiceDefinition::coldStartMillis).orElse(0L);
+    }
+
     private boolean isCold(BackendServerState server) {
         return guarded(server).isPresent() && coldServers.orElseThrow().isCold(server.idHash(), loop.nowMillis());
     }
@@ -121,7 +129,8 @@
         record(
                 server,
                 Source.ENTRY,
-                cold -> cold.recordEntry(server.idHash(), server.entry().coldMillis(), loop.nowMillis()));
+                cold -> cold.recordEntry(
+                        server.idHash(), server.entry().coldMillis(), coldStartMillis(server), loop.nowMillis()));
         Long endMillis = evacuationEndMillis.get(server.entry().availabilityZone());
         if (endMillis != null) {
             onEvacuationEnded(server, endMillis);
@@ -161,7 +170,8 @@
             record(
                     server,
                     Source.RESPONSE,
-                    cold -> cold.recordStatement(server.idHash(), coldMillis.getAsLong(), loop.nowMillis()));
+                    cold -> cold.recordStatement(
+                            server.idHash(), coldMillis.getAsLong(), coldStartMillis(server), loop.nowMillis()));
         } else {
             onConnected(server);
         }
--- a/router/src/main/java/io/heatherloft/router/peers/FleetGossip.java
+++ b/router/src/main/java/io/heatherloft/router/peers/FleetGossip.java
@@ -25,7 +25,6 @@
 import io.heatherloft.router.fleet.PrefixReplica;
 import io.heatherloft.router.fleet.VersionPolicies;
 import io.heatherloft.router.log.DecisionLog;
-import java.util.Collection;
 import java.util.List;
 import java.util.Optional;
 import java.util.Random;
@@ -49,10 +48,6 @@
     // Half of the hosts may have lost the store; eight rounds are enough for all of them to learn of an order in 5 s.
     private static final long MAX_ROUND_MILLIS_WITHOUT_STORE = 600L;
     private static final int REPORTS_PER_MESSAGE = 16;
-    // Traffic between availability zones is charged for. In larger fleets most rounds stay within the zone, and the
-    // others spread
-    // news to other zones.
-    private static final double SAME_ZONE_SHARE = 0.75;
     private static final int REPORTS_PER_MESSAGE_IN_SHORT_ROUNDS = 2;
     // Limits the size of a report to a few hundred bytes; requests that crash servers are rare.
     private static final int CRASHES_PER_REPORT = 12;
@@ -165,21 +160,13 @@
 
     // Seeds are contacted occasionally even when hosts are alive, so that the two sides of a partition reconnect.
     private Optional<String> choosePeer() {
-        Collection<HostReport> alive = reports.alive();
-        List<String> sameZone = reports.isLargeFleet() && random.nextDouble() < SAME_ZONE_SHARE
-                ? alive.stream()
-                        .filter(reports::isInOwnZone)
-                        .map(HostReport::getAddress)
-                        .toList()
-                : List.of();
-        if (!sameZone.isEmpty()) {
-            return Optional.of(sameZone.get(random.nextInt(sameZone.size())));
-        }
         List<String> candidates = Stream.concat(
-                        alive.stream().map(HostReport::getAddress),
-                        alive.isEmpty()
+                        reports.alive().stream().map(HostReport::getAddress),
+                        reports.alive().isEmpty()
                                 ? Stream.concat(reports.known().stream().map(HostReport::getAddress), seeds.stream())
-                                : seeds.stream().filter(_seed -> random.nextInt(alive.size() + 1) == 0))
+                                : seeds.stream()
+                                        .filter(_seed ->
+                                                random.nextInt(reports.alive().size() + 1) == 0))
                 .distinct()
                 .toList();
         return candidates.isEmpty() ? Optional.empty() : Optional.of(candidates.get(random.nextInt(candidates.size())));
--- a/router/src/main/java/io/heatherloft/router/peers/HostReports.java
+++ b/router/src/main/java/io/heatherloft/router/peers/HostReports.java
@@ -88,7 +88,7 @@
         return serverSpeeds.factor(server.incarnationHash(), loop.nowMillis());
     }
 
-    /** Returns true if the fleet is so large that speeds of servers are learned, and traffic between zones is avoided. */
+    /** Returns true if the fleet is so large that the speeds of servers are learned and used. */
     public boolean isLargeFleet() {
         return hostCount() >= LARGE_FLEET_HOSTS;
     }
@@ -118,8 +118,9 @@
                 .filter(report -> !report.getCutOff() && !report.getStopping())
                 .toList());
         Collections.shuffle(offers, random);
-        Map<Boolean, List<HostReport>> byNearness =
-                offers.stream().collect(Collectors.partitioningBy(this::isInOwnZone));
+        Map<Boolean, List<HostReport>> byNearness = offers.stream()
+                .collect(Collectors.partitioningBy(
+                        report -> report.getAvailabilityZone().equals(ownZone)));
         return Stream.of(
                         byNearness.get(true).stream().limit(1),
                         byNearness.get(false).stream().limit(1),
@@ -163,11 +164,6 @@
         return youngerThan(MAX_ALIVE_AGE_MILLIS);
     }
 
-    /** Returns true if a host is in the availability zone of this one. */
-    boolean isInOwnZone(HostReport report) {
-        return report.getAvailabilityZone().equals(ownZone);
-    }
-
     /** Returns the newest reports of the hosts that reported in the last minute. */
     Collection<HostReport> known() {
         return youngerThan(MAX_KNOWN_AGE_MILLIS);
--- a/router/src/main/java/io/heatherloft/router/request/Attempt.java
+++ b/router/src/main/java/io/heatherloft/router/request/Attempt.java
@@ -411,11 +411,20 @@
     @Override
     public void onFailure(ExchangeFailure failure) {
         if (!ended) {
-            execution.engine().coldServers().onFailure(server);
+            if (isOfServer(failure)) {
+                execution.engine().coldServers().onFailure(server);
+            }
             fail(failure);
         }
     }
 
+    // An idle connection may be closed, and one through another host may be lost, although the server runs.
+    private boolean isOfServer(ExchangeFailure failure) {
+        return failure.kind() == ExchangeFailure.Kind.NOT_SENT
+                ? failure.refused() || failure.confirmed()
+                : exchange != null && !exchange.isRelayed();
+    }
+
     private void fail(ExchangeFailure failure) {
         if (ended) {
             return;
--- a/router/src/main/java/io/heatherloft/router/request/AttemptBackendSelector.java
+++ b/router/src/main/java/io/heatherloft/router/request/AttemptBackendSelector.java
@@ -9,6 +9,7 @@
 import io.heatherloft.router.fleet.VersionPolicy;
 import io.heatherloft.router.peers.ColdServerGuard;
 import io.heatherloft.router.peers.HostReports;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -111,12 +112,8 @@
         List<BackendServerState> ready = usable(service);
         VersionPolicy.VersionPreference preference = preference(service, metadata, versionsOf(ready));
         Map<String, Integer> otherLoads = hostReports.outstandingByBackend();
-        List<BackendServerState> eligible = preferredVersion(preference, triedServers)
-                .map(version -> withinLimits(ready.stream()
-                        .filter(server -> server.entry().version().equals(version))
-                        .toList()))
-                .map(servers -> coldServers.usable(service, priority, servers, otherLoads))
-                .orElseGet(List::of);
+        List<BackendServerState> eligible =
+                eligible(service, priority, ready, versionsInOrder(preference, triedServers), otherLoads);
         List<BackendServerState> untried = eligible.stream()
                 .filter(server -> !triedServers.contains(server.entry().id()))
                 .toList();
@@ -137,12 +134,36 @@
                 .preference(metadata.session(), metadata.attemptId().orElse(""), availableVersions, loop.nowMillis());
     }
 
+    // Passes on to the next allowed version if this host may use none of the servers because they are cold, as those of
+    // a new
+    // version are at first.
+    private List<BackendServerState> eligible(
+            String service,
+            int priority,
+            List<BackendServerState> ready,
+            List<String> versions,
+            Map<String, Integer> otherLoads) {
+        for (String version : versions) {
+            List<BackendServerState> servers = withinLimits(ready.stream()
+                    .filter(server -> server.entry().version().equals(version))
+                    .toList());
+            List<BackendServerState> usable = coldServers.usable(service, priority, servers, otherLoads);
+            if (!usable.isEmpty() || servers.isEmpty()) {
+                return usable;
+            }
+        }
+        return List.of();
+    }
+
+    private static List<String> versionsInOrder(VersionPolicy.VersionPreference preference, TriedServers triedServers) {
+        return preference.versions().stream()
+                .sorted(Comparator.comparing(triedServers::isVersionSuspect))
+                .toList();
+    }
+
     private static Optional<String> preferredVersion(
             VersionPolicy.VersionPreference preference, TriedServers triedServers) {
-        return preference.versions().stream()
-                .filter(version -> !triedServers.isVersionSuspect(version))
-                .findFirst()
-                .or(() -> preference.versions().stream().findFirst());
+        return versionsInOrder(preference, triedServers).stream().findFirst();
     }
 
     private static Set<String> versionsOf(List<BackendServerState> servers) {
