--- a/domain/src/main/java/io/heatherloft/domain/admission/ServiceAdmission.java
+++ b/domain/src/main/java/io/heatherloft/domain/admission/ServiceAdmission.java
@@ -26,8 +26,8 @@
     // Bounds the memory for the bodies of waiting requests.
     private static final int MAX_CAPACITY = 256;
     // Part of the queue's places that a priority keeps, so that some of its requests become the oldest ones, which get
-    // one
-    // in eight slots. With an eighth of the places, a sixth of the load got too few of these slots at a load of 1.5.
+    // one in eight slots. With an eighth of the places, a sixth of the load got too few of these slots at a load of
+    // 1.5.
     private static final int PLACES_DIVISOR = 4;
     private static final int MAX_KNOWN_RETURNS = 4_096;
     // A caller counts as returning if it comes at most this part of the delay early, since clocks and headers are
--- a/domain/src/main/java/io/heatherloft/domain/route/BackendSelector.java
+++ b/domain/src/main/java/io/heatherloft/domain/route/BackendSelector.java
@@ -24,8 +24,7 @@
     private static final double OTHER_ZONE_PENALTY_MILLIS = 3.0;
     private static final double FAILURE_PENALTY_MILLIS = 400.0;
     // Part of the time to the first token that a slow engine lengthens whatever its load: a prompt of 6,600 tokens at
-    // 61 a
-    // millisecond. Without it, the factor of a server without known load would have no effect.
+    // 61 a millisecond. Without it, the factor of a server without known load would have no effect.
     private static final double ENGINE_BASE_MILLIS = 108.0;
 
     // Response times include the wait in a server's queue, which factors follow with delay. With factors in full under
--- a/entry/src/main/java/io/heatherloft/entry/EntryHost.java
+++ b/entry/src/main/java/io/heatherloft/entry/EntryHost.java
@@ -55,8 +55,7 @@
     private static final long MIN_WATCH_INTERVAL_MILLIS = 100L;
     private static final long MAX_WATCH_INTERVAL_MILLIS = 500L;
     // Calls to the store are charged for. In a larger fleet each host asks less often, since hosts tell each other what
-    // they
-    // read; a change still reaches a host that hears nothing from others in a third of its deadline.
+    // they read; a change still reaches a host that hears nothing from others in a third of its deadline.
     private static final long WATCH_INTERVAL_MILLIS_PER_HOST = 15L;
     private static final int MIN_WATCHES_PER_CHANGE_DEADLINE = 3;
     // The load balancer checks readiness every second and removes a host after two failed checks.
--- a/router/src/main/java/io/heatherloft/router/fleet/RestorePolicy.java
+++ b/router/src/main/java/io/heatherloft/router/fleet/RestorePolicy.java
@@ -91,8 +91,7 @@
     }
 
     // A revocation is kept while the store has no such key, so that a host that missed it learns of it and does not
-    // spread
-    // the evacuation anew.
+    // spread the evacuation anew.
     private static boolean isEvacuationUnchanged(Change earlier, Optional<Change> current, long eraAgeMillis) {
         return current.isEmpty() || isLostOrder(earlier, current, eraAgeMillis);
     }
--- a/router/src/main/java/io/heatherloft/router/peers/HostReports.java
+++ b/router/src/main/java/io/heatherloft/router/peers/HostReports.java
@@ -36,9 +36,7 @@
     private static final long KNOWN_HOSTS_REFRESH_MILLIS = 500L;
     // A host that sent no report for this time is no longer contacted or counted.
     private static final long MAX_KNOWN_AGE_MILLIS = 60_000L;
-    // In smaller fleets, loads are known well enough that a slow server shows by its requests in progress, and hosts
-    // exchange few
-    // bytes.
+    // In smaller fleets, loads are known well enough that a slow server shows by its requests in progress.
     private static final int LARGE_FLEET_HOSTS = 24;
     // With 360 hosts, a host hears in a minute of about 60% of the others, in five of nearly all.
     private static final long MAX_REMEMBERED_AGE_MILLIS = 300_000L;
--- a/router/src/main/java/io/heatherloft/router/request/AttemptBackendSelector.java
+++ b/router/src/main/java/io/heatherloft/router/request/AttemptBackendSelector.java
@@ -135,8 +135,7 @@
     }
 
     // Passes on to the next allowed version if this host may use none of the servers because they are cold, as those of
-    // a new
-    // version are at first.
+    // a new version are at first.
     private List<BackendServerState> eligible(
             String service,
             int priority,
