Twins and repeated work of the last changes are joined

Found by reading the whole change; behaviour stays as it is. - BackendConnectionPool: the two checks of a server differ in what they report only, and share one method. - PrefixWatcher had the backoff that CallBackoff repeated, and uses it. - HostReports summed the reported loads twice, once with a cache of 20 ms that a choice of a server rarely met; there is one sum, which is kept until a report comes or ages, so that loads are never older than they were before. - RequestExecution selected a server for each response of a small model, also for those that it keeps; it does so now only if a larger model is wanted. The confidence line is therefore written also if there is no server for it. - ColdServers: entries and responses share one method; ColdServerGuard asks the registry for the servers of a zone.

--- a/domain/src/main/java/io/heatherloft/domain/route/ColdServers.java
+++ b/domain/src/main/java/io/heatherloft/domain/route/ColdServers.java
@@ -3,6 +3,7 @@
 import io.heatherloft.domain.BoundedMap;
 import io.heatherloft.domain.StableHash;
 import java.util.Map;
+import java.util.function.LongBinaryOperator;
 
 /**
  * Decides which backend servers are or may be cold, and which requests this host may send them.
@@ -94,16 +95,8 @@
      * @return true if the server did not count as cold before and does now
      */
     public boolean recordEntry(long server, long coldMillis, long coldStartMillis, long nowMillis) {
-        if (coldMillis <= 0 && !servers.containsKey(server)) {
-            return false;
-        }
-        State state = stateOf(server, nowMillis);
-        boolean coldBefore = state.isCold(nowMillis);
-        // An entry may have been written before the failure, and its server may start after it was read.
-        markUp(state, coldStartMillis, nowMillis);
         // An entry may have been written before the newest response.
-        state.statedUntilMillis = Math.max(state.statedUntilMillis, nowMillis + limited(coldMillis));
-        return becameCold(state, coldBefore, nowMillis);
+        return recordStated(server, coldMillis, coldStartMillis, nowMillis, Math::max);
     }
 
     /**
@@ -113,13 +106,19 @@
      * @return true if the server did not count as cold before and does now
      */
     public boolean recordStatement(long server, long coldMillis, long coldStartMillis, long nowMillis) {
+        return recordStated(server, coldMillis, coldStartMillis, nowMillis, (_known, stated) -> stated);
+    }
+
+    private boolean recordStated(
+            long server, long coldMillis, long coldStartMillis, long nowMillis, LongBinaryOperator newerEnd) {
         if (coldMillis <= 0 && !servers.containsKey(server)) {
             return false;
         }
         State state = stateOf(server, nowMillis);
         boolean coldBefore = state.isCold(nowMillis);
+        // An entry may have been written before a failure, and its server may start after it was read.
         markUp(state, coldStartMillis, nowMillis);
-        state.statedUntilMillis = nowMillis + limited(coldMillis);
+        state.statedUntilMillis = newerEnd.applyAsLong(state.statedUntilMillis, nowMillis + limited(coldMillis));
         return becameCold(state, coldBefore, nowMillis);
     }
 
--- a/entry/src/main/java/io/heatherloft/entry/EntryHost.java
+++ b/entry/src/main/java/io/heatherloft/entry/EntryHost.java
@@ -206,7 +206,7 @@
                 .with("reason", lost ? "other hosts reach servers that this host does not" : "connected directly"));
     }
 
-    static long watchIntervalMillis(PlatformSettings settings, int hostCount) {
+    private static long watchIntervalMillis(PlatformSettings settings, int hostCount) {
         long intervalMillis = settings.changeDeadlineMillis() / WATCHES_PER_CHANGE_DEADLINE;
         long fewHostsMillis = Math.max(MIN_WATCH_INTERVAL_MILLIS, Math.min(MAX_WATCH_INTERVAL_MILLIS, intervalMillis));
         long longestMillis = settings.changeDeadlineMillis() / MIN_WATCHES_PER_CHANGE_DEADLINE;
--- a/router/src/main/java/io/heatherloft/router/backend/BackendConnectionPool.java
+++ b/router/src/main/java/io/heatherloft/router/backend/BackendConnectionPool.java
@@ -26,6 +26,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import java.util.function.Function;
 import java.util.function.Predicate;
@@ -165,22 +166,11 @@
      * other hosts too. Does nothing while an earlier check of the server is in progress.
      */
     public void checkUp(BackendEndpoint endpoint, Runnable onRefused) {
-        if (!checkedEndpoints.add(endpoint)) {
-            return;
-        }
-        openDirectly(
-                endpoint,
-                channel -> {
-                    checkedEndpoints.remove(endpoint);
-                    ChannelFuture _closed = channel.close();
-                },
-                failure -> relay.connect(endpoint, outcome -> {
-                    checkedEndpoints.remove(endpoint);
-                    closeIfReachable(endpoint, outcome);
-                    if (outcome.channel().isEmpty() && outcome.confirmed() && isRefusal(failure)) {
-                        onRefused.run();
-                    }
-                }));
+        checkOnce(endpoint, () -> {}, (failure, outcome) -> {
+            if (outcome.confirmed() && isRefusal(failure)) {
+                onRefused.run();
+            }
+        });
     }
 
     /**
@@ -188,6 +178,11 @@
      * while an earlier check of the server is in progress.
      */
     public void checkConnectable(BackendEndpoint endpoint, Runnable onConnected) {
+        checkOnce(endpoint, onConnected, (_failure, _outcome) -> {});
+    }
+
+    private void checkOnce(
+            BackendEndpoint endpoint, Runnable onConnected, BiConsumer<Throwable, RelayClient.Outcome> onUnreachable) {
         if (!checkedEndpoints.add(endpoint)) {
             return;
         }
@@ -198,10 +193,14 @@
                     ChannelFuture _closed = channel.close();
                     onConnected.run();
                 },
-                _failure -> relay.connect(endpoint, outcome -> {
+                failure -> relay.connect(endpoint, outcome -> {
                     checkedEndpoints.remove(endpoint);
                     closeIfReachable(endpoint, outcome);
-                    outcome.channel().ifPresent(_channel -> onConnected.run());
+                    if (outcome.channel().isPresent()) {
+                        onConnected.run();
+                    } else {
+                        onUnreachable.accept(failure, outcome);
+                    }
                 }));
     }
 
--- a/router/src/main/java/io/heatherloft/router/fleet/PrefixWatcher.java
+++ b/router/src/main/java/io/heatherloft/router/fleet/PrefixWatcher.java
@@ -4,6 +4,7 @@
 import io.heatherloft.domain.StoreRevision;
 import io.heatherloft.ports.loop.Futures;
 import io.heatherloft.ports.loop.Loop;
+import io.heatherloft.ports.store.CallBackoff;
 import io.heatherloft.ports.store.KeyValueStore;
 import io.heatherloft.ports.store.StoreValue;
 import io.heatherloft.router.log.DecisionLog;
@@ -26,12 +27,11 @@
     private final String prefix;
     private final Listener listener;
     private final DecisionLog log;
-    private final Random random;
+    private final CallBackoff backoff;
     private KeyValueStore.Watch watch = () -> {};
     private Loop.Cancellation retry = () -> {};
     private StoreRevision revision = StoreRevision.NONE;
     private long listings;
-    private long backoffMillis = INITIAL_BACKOFF_MILLIS;
     private boolean reachable;
     private boolean stopped;
 
@@ -43,7 +43,7 @@
         this.prefix = prefix;
         this.listener = listener;
         this.log = log;
-        this.random = random;
+        this.backoff = new CallBackoff(INITIAL_BACKOFF_MILLIS, random);
     }
 
     /** Lists the prefix and starts watching it. */
@@ -102,12 +102,12 @@
 
     private void retryLater(Runnable task) {
         // Hosts that lost the store at the same time do not return to it at the same time.
-        retry = loop.schedule(backoffMillis / 2 + random.nextInt((int) backoffMillis), task);
-        backoffMillis = Math.min(MAX_BACKOFF_MILLIS, backoffMillis * 2);
+        backoff.onFailure(loop.nowMillis(), MAX_BACKOFF_MILLIS);
+        retry = loop.schedule(backoff.remainingMillis(loop.nowMillis()), task);
     }
 
     private void onReachable() {
-        backoffMillis = INITIAL_BACKOFF_MILLIS;
+        backoff.onSuccess();
         if (!reachable) {
             reachable = true;
             log.lifecycle("dependency_regained", line -> line.with("dependency", "store")
--- a/router/src/main/java/io/heatherloft/router/peers/ColdServerGuard.java
+++ b/router/src/main/java/io/heatherloft/router/peers/ColdServerGuard.java
@@ -142,9 +142,7 @@
         long now = loop.nowMillis();
         if (coldServers.isPresent()) {
             evacuationEndMillis.put(zone, now);
-            registry.all().stream()
-                    .filter(server -> server.entry().availabilityZone().equals(zone))
-                    .forEach(server -> onEvacuationEnded(server, now));
+            registry.inZone(zone).forEach(server -> onEvacuationEnded(server, now));
         }
     }
 
--- a/router/src/main/java/io/heatherloft/router/peers/HostReports.java
+++ b/router/src/main/java/io/heatherloft/router/peers/HostReports.java
@@ -30,8 +30,6 @@
     private static final long MAX_LOAD_AGE_MILLIS = 1_500L;
     // Load figures older than this are used, but a server may have become free since.
     private static final long MAX_RECENT_LOAD_AGE_MILLIS = 500L;
-    // Much shorter than the time in which reports change.
-    private static final long LOADS_CACHE_MILLIS = 20L;
     // Hosts are hashed this often at most, since a check of waiting requests comes every 20 ms.
     private static final long KNOWN_HOSTS_REFRESH_MILLIS = 500L;
     // A host that sent no report for this time is no longer contacted or counted.
@@ -51,8 +49,7 @@
     private final Random random;
     private final Map<String, ReceivedReport> byHost = new HashMap<>();
     private final ServerNotices serverNotices;
-    private Map<String, Integer> loads = Map.of();
-    private long loadsAtMillis = Long.MIN_VALUE / 2;
+    private Map<String, Integer> outstandingByBackend = Map.of();
     private final ServerSpeeds serverSpeeds = new ServerSpeeds();
     private String ownZone = "";
     private String ownRelayAddress = "";
@@ -209,21 +206,8 @@
 
     /** Returns the number of requests in progress on each backend server, summed over recent reports of other hosts. */
     public Map<String, Integer> outstandingByBackend() {
-        // Each choice of a server asks for them, and summing them up takes longer than the choice.
-        if (loop.nowMillis() - loadsAtMillis >= LOADS_CACHE_MILLIS) {
-            loads = sumLoads();
-            loadsAtMillis = loop.nowMillis();
-        }
-        return loads;
-    }
-
-    private Map<String, Integer> sumLoads() {
-        Map<String, Integer> sums = new HashMap<>();
-        byHost.values().stream()
-                .filter(received -> ageOf(received) < MAX_LOAD_AGE_MILLIS)
-                .flatMap(received -> received.report().getLoadsList().stream())
-                .forEach(load -> sums.merge(load.getBackendId(), load.getOutstanding(), Integer::sum));
-        return sums;
+        updateReportedLoads();
+        return outstandingByBackend;
     }
 
     /**
@@ -249,6 +233,11 @@
 
     /** Returns the load of each backend server that other hosts use. The sums are kept until a report comes or ages. */
     public Map<String, ReportedLoad> reportedLoads() {
+        updateReportedLoads();
+        return reportedLoads;
+    }
+
+    private void updateReportedLoads() {
         long now = loop.nowMillis();
         if (now >= reportedLoadsValidUntilMillis) {
             Map<String, ReportedLoad> loads = new HashMap<>();
@@ -272,8 +261,10 @@
                                         ReportedLoad::plus));
                     });
             reportedLoads = loads;
+            outstandingByBackend = loads.entrySet().stream()
+                    .collect(Collectors.toMap(
+                            Map.Entry::getKey, load -> load.getValue().requests()));
         }
-        return reportedLoads;
     }
 
     /** Sets what is called when a report of another host has been added; it must not take long. */
--- a/router/src/main/java/io/heatherloft/router/request/RequestExecution.java
+++ b/router/src/main/java/io/heatherloft/router/request/RequestExecution.java
@@ -249,7 +249,7 @@
      * @return false if the response is discarded and the request has been sent to the largest model instead
      */
     boolean acceptsResponse(Attempt running, OptionalInt confidence) {
-        if (!isCurrent(running) || streamStarted || !cascade.hasLargerModel() || !hasServer()) {
+        if (!isCurrent(running) || streamStarted || !cascade.hasLargerModel()) {
             return true;
         }
         boolean sufficient = cascade.isSufficient(confidence);
@@ -259,7 +259,9 @@
                 .with("expected_output_tokens", metadata.expectedOutputTokens())
                 .with("confidence", confidence.orElse(0))
                 .with("outcome", sufficient ? "kept" : "larger"));
-        if (sufficient || !mayRetry("confidence " + confidence.orElse(0), RetryBudget::tryAcquireOptional)) {
+        if (sufficient
+                || !hasServer()
+                || !mayRetry("confidence " + confidence.orElse(0), RetryBudget::tryAcquireOptional)) {
             return true;
         }
         running.cancel();
