--- a/review/common-2/src/Kit.java
+++ b/review/common-2/src/Kit.java
@@ -618,6 +618,15 @@
 
     /** Creates hosts in zones a, b, c in turn, with the settings of a small deployment; starts none of them. */
     static List<Host> newHosts(int count, int storePort) throws IOException {
+        return newHosts(count, storePort, "");
+    }
+
+    /**
+     * Creates hosts as above.
+     *
+     * @param furtherContracts parts of the rules that are in force besides those of the small deployments
+     */
+    static List<Host> newHosts(int count, int storePort, String furtherContracts) throws IOException {
         Random random = new Random();
         List<String> ips = new ArrayList<>();
         while (ips.size() < count) {
@@ -664,7 +673,7 @@
                     discovery: "platform"
                     entry: "virtual_ip"
                     heartbeat_ms: 1200
-                    contracts: ["base", "drain", "config", "cost", "retry", "recover", "engine", "stream", "tenants", "platform", "rollout"]
+                    contracts: ["base", "drain", "config", "cost", "retry", "recover", "engine", "stream", "tenants", %s"platform", "rollout"]
                     fault_tolerance: {machines: 2, zones: 0, regions: 0}
                     bounds: {seed_lag_s: 3, addr_reuse_s: 2, stable_window_ms: 3000, ack_ms: 4000, catch_up_s: 4, drain_ms: 2000,
                       grace_s: 8, loss_slack_ms: 200, config_apply_ms: 2000, downgrade_slack_ms: 250, max_stretch_ms: 5000,
@@ -676,7 +685,7 @@
                     """
                     .formatted(
                             name, ip, zone, ip, front, ip, ready, ip, controls.get(index), freePort(ip), 65_000, seeds,
-                            "true", storePort));
+                            "true", furtherContracts, storePort));
             hosts.add(new Host(name, ip, front, ready, file));
         }
         HOSTS.addAll(hosts);
