--- a/review/common-2/src/Runner.java
+++ b/review/common-2/src/Runner.java
@@ -7,6 +7,8 @@
 import java.util.Map;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.IntSupplier;
+import java.util.function.Supplier;
 
 /** A sound runner: checks who is meant, has slots and a queue, says so if it has not run a request, and seals its answers. */
 final class Runner {
@@ -22,7 +24,9 @@
     private final String service;
     private final String zone;
     private final int slots;
-    private final int queue;
+    private final IntSupplier queue;
+    private final Supplier<Map<String, String>> notices;
+    private final Rejection rejection;
     private final Work work;
     private final Kit.Server server;
     private final List<Arrival> arrivals = new CopyOnWriteArrayList<>();
@@ -31,12 +35,38 @@
     private volatile String id;
     private volatile boolean up;
 
+    /** What happens besides when a request is turned away for want of room. */
+    interface Rejection {
+        void on(Runner runner) throws IOException;
+    }
+
     Runner(Kit.Store store, String service, String zone, int slots, int queue, Work work) throws IOException {
+        this(store, service, zone, slots, () -> queue, Map::of, runner -> {}, work);
+    }
+
+    /**
+     * Creates a runner and registers it.
+     *
+     * @param queue supplies the number of requests that may wait for a slot
+     * @param notices supplies headers that all answers have
+     */
+    Runner(
+            Kit.Store store,
+            String service,
+            String zone,
+            int slots,
+            IntSupplier queue,
+            Supplier<Map<String, String>> notices,
+            Rejection rejection,
+            Work work)
+            throws IOException {
         this.store = store;
         this.service = service;
         this.zone = zone;
         this.slots = slots;
         this.queue = queue;
+        this.notices = notices;
+        this.rejection = rejection;
         this.work = work;
         this.server = new Kit.Server(this::handle);
         join();
@@ -88,6 +118,7 @@
         headers.put("X-Attempt-Id", request.header("x-attempt-id"));
         headers.put("X-Runner-Id", id);
         headers.put("Keep-Alive", "timeout=5");
+        headers.putAll(notices.get());
         return headers;
     }
 
@@ -114,6 +145,7 @@
             Map<String, String> headers = headers(request);
             headers.put("X-Not-Executed", "1");
             Kit.respond(out, "503 Service Unavailable", headers, new byte[0]);
+            rejection.on(this);
             return true;
         }
         try {
@@ -127,7 +159,7 @@
 
     // Waits for a slot; false if the queue is full.
     private boolean enter() {
-        if (waiting.get() >= queue && running.get() >= slots) {
+        if (waiting.get() >= queue.getAsInt() && running.get() >= slots) {
             return false;
         }
         waiting.incrementAndGet();
