--- a/review/common-2/src/FlappingAndPoison.java
+++ b/review/common-2/src/FlappingAndPoison.java
@@ -15,7 +15,7 @@
     private static final double IN_TOUCH_SECONDS = 4.0;
     private static final int SUBJECTS = 143;
     private static final int RUNNERS = 20;
-    private static final int FLAPPING_RUNNERS = 3;
+    private static final int FLAPPING_RUNNERS = 2;
     private static final double FLAPPING_SECONDS = 6.5;
     private static final long PERIOD_MILLIS = 4_500;
     private static final long BACK_MILLIS = 2_500;
