A stop logs each request that it ends, with its state

Cause: the lines of a stop gave one number, the requests between their dispatch and their end. Requests that were still arriving, pipelined, kept for the start, or answered but not written could not be told apart, and most were not counted. Change: the callers' server lists its open requests with their state, from the first byte read to the last byte in the caller's socket. What a stop waits for is unchanged.

--- a/entry/src/main/java/io/heatherloft/entry/EntryHost.java
+++ b/entry/src/main/java/io/heatherloft/entry/EntryHost.java
@@ -82,6 +82,7 @@
     private final CrashRecorder crashRecorder;
     private final RequestEngine engine;
     private final CallerServer callerServer;
+    private final OpenRequestsReport openRequests;
     private final CallerServer readinessServer;
     private final CallerServer metricsServer;
     private final PeerTraffic peerTraffic = new PeerTraffic();
@@ -187,6 +188,7 @@
         this.callerServer = new CallerServer(
                 group, loop, fleetView::limits, engine, status -> metrics.counter("requests_rejected_total." + status)
                         .inc());
+        this.openRequests = new OpenRequestsReport(loop, callerServer, log, metrics);
         metrics.gauge("caller_connections", () -> callerServer::connectionCount);
         metrics.gauge("caller_connection_errors", () -> callerServer::connectionErrors);
         this.readinessServer = new CallerServer(
@@ -346,7 +348,7 @@
             stopping = true;
             gossip.announceStop();
             long startMillis = loop.nowMillis();
-            log.lifecycle("stop", line -> line.with("in_progress", engine.inProgress()));
+            openRequests.logEvent("stop");
             loop.schedule(BALANCER_NOTICE_MILLIS / 2, callerServer::drain);
             loop.schedule(BALANCER_NOTICE_MILLIS, () -> {
                 callerServer.stopAccepting();
@@ -365,7 +367,8 @@
             loop.schedule(STOP_POLL_MILLIS, () -> awaitRequests(startMillis, stopped));
             return;
         }
-        log.lifecycle("stopped", line -> line.with("in_progress", engine.inProgress()));
+        openRequests.logEndedByStop();
+        openRequests.logEvent("stopped");
         rollouts.stop();
         crashRecorder.stop();
         gossip.stop();
--- a/router/src/main/java/io/heatherloft/router/http/CallerConnection.java
+++ b/router/src/main/java/io/heatherloft/router/http/CallerConnection.java
@@ -10,6 +10,7 @@
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
@@ -25,8 +26,11 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.Deque;
+import java.util.List;
 import java.util.Optional;
+import java.util.stream.Stream;
 
 /**
  * One connection of a caller: aggregates requests, passes them to the handler one at a time and writes the responses in
@@ -52,6 +56,7 @@
     private Loop.Cancellation timer = () -> {};
     private long firstByteAtMillis = -1;
     private long lastByteAtMillis;
+    private long lastArrivedAtMillis;
     private boolean closing;
 
     CallerConnection(Loop loop, CallerServer server, Channel channel) {
@@ -67,6 +72,26 @@
         }
     }
 
+    /** Returns the requests of this connection that have no complete response in the caller's socket. */
+    Stream<OpenRequest> openRequests() {
+        List<OpenRequest> open = new ArrayList<>();
+        if (activeResponse != null) {
+            open.add(activeResponse.describe());
+        } else if (hasUnsentOutput()) {
+            open.add(OpenRequest.of(OpenRequest.State.RESPONSE_IN_BUFFER, lastArrivedAtMillis));
+        }
+        pipelined.forEach(request -> open.add(OpenRequest.of(OpenRequest.State.PIPELINED, request.arrivedAtMillis())));
+        if (firstByteAtMillis >= 0 && !closing) {
+            open.add(OpenRequest.of(OpenRequest.State.ARRIVING, firstByteAtMillis));
+        }
+        return open.stream();
+    }
+
+    private boolean hasUnsentOutput() {
+        ChannelOutboundBuffer output = channel.unsafe().outboundBuffer();
+        return output != null && output.totalPendingWriteBytes() > 0;
+    }
+
     @Override
     public void channelActive(ChannelHandlerContext _context) {
         startIdleTimer();
@@ -164,7 +189,8 @@
 
     private void startRequest(CallerRequest request) {
         timer.cancel();
-        activeResponse = new ResponseWriter(this, channel, server, isKeepAlive(request));
+        activeResponse = new ResponseWriter(this, channel, server, request.arrivedAtMillis(), isKeepAlive(request));
+        lastArrivedAtMillis = request.arrivedAtMillis();
         server.handler().onRequest(request, activeResponse);
     }
 
--- a/router/src/main/java/io/heatherloft/router/http/CallerExchange.java
+++ b/router/src/main/java/io/heatherloft/router/http/CallerExchange.java
@@ -41,5 +41,10 @@
 
         /** Called when {@link CallerExchange#isWritable} has changed. */
         void onWritabilityChanged();
+
+        /** Describes the request, for logs and metrics. */
+        default OpenRequest describe(long arrivedAtMillis) {
+            return OpenRequest.of(OpenRequest.State.WAITING, arrivedAtMillis);
+        }
     }
 }
--- a/router/src/main/java/io/heatherloft/router/http/CallerServer.java
+++ b/router/src/main/java/io/heatherloft/router/http/CallerServer.java
@@ -123,6 +123,11 @@
         }
     }
 
+    /** Returns the requests that were accepted and whose responses are not completely in the callers' sockets. */
+    public List<OpenRequest> openRequests() {
+        return connections.stream().flatMap(CallerConnection::openRequests).toList();
+    }
+
     /** Returns the number of open connections. */
     public int connectionCount() {
         return connections.size();
--- a/router/src/main/java/io/heatherloft/router/http/ResponseWriter.java
+++ b/router/src/main/java/io/heatherloft/router/http/ResponseWriter.java
@@ -30,14 +30,21 @@
     private final CallerConnection connection;
     private final Channel channel;
     private final CallerServer server;
+    private final long arrivedAtMillis;
     private Listener listener = NO_LISTENER;
     private boolean keepAlive;
     private boolean ended;
 
-    ResponseWriter(CallerConnection connection, Channel channel, CallerServer server, boolean keepAlive) {
+    ResponseWriter(
+            CallerConnection connection,
+            Channel channel,
+            CallerServer server,
+            long arrivedAtMillis,
+            boolean keepAlive) {
         this.connection = connection;
         this.channel = channel;
         this.server = server;
+        this.arrivedAtMillis = arrivedAtMillis;
         this.keepAlive = keepAlive;
     }
 
@@ -46,6 +53,10 @@
         keepAlive = false;
     }
 
+    OpenRequest describe() {
+        return listener.describe(arrivedAtMillis);
+    }
+
     void onWritabilityChanged() {
         listener.onWritabilityChanged();
     }
--- a/router/src/main/java/io/heatherloft/router/request/Attempt.java
+++ b/router/src/main/java/io/heatherloft/router/request/Attempt.java
@@ -89,6 +89,11 @@
         return server;
     }
 
+    /** Returns false once the attempt has had its outcome or was cancelled. */
+    boolean isInProgress() {
+        return !ended;
+    }
+
     void send(DispatchMetadata dispatch) {
         HttpHeaders headersToSend = execution
                 .engine()
--- a/router/src/main/java/io/heatherloft/router/request/RequestEngine.java
+++ b/router/src/main/java/io/heatherloft/router/request/RequestEngine.java
@@ -13,6 +13,7 @@
 import io.heatherloft.router.http.CallerExchange;
 import io.heatherloft.router.http.CallerHandler;
 import io.heatherloft.router.http.CallerRequest;
+import io.heatherloft.router.http.OpenRequest;
 import io.heatherloft.router.log.DecisionLog;
 import io.heatherloft.router.peers.ColdServerGuard;
 import io.heatherloft.router.peers.HostReports;
@@ -84,6 +85,7 @@
     public void onRequest(CallerRequest request, CallerExchange exchange) {
         boolean starting = !fleetView.isComplete() && loop.nowMillis() - createdAtMillis < STARTUP_WAIT_MILLIS;
         if (starting && !exchange.hasEnded()) {
+            exchange.setListener(new KeptRequest(request));
             loop.schedule(STARTUP_POLL_MILLIS, () -> onRequest(request, exchange));
         } else if (!exchange.hasEnded()) {
             admit(request, exchange);
@@ -132,6 +134,32 @@
         LocalReply.send(exchange, headerCodec.localReplyHeaders(metadata), reason, reason.retryAfterSeconds());
     }
 
+    /** Describes a request that is kept while the host starts. Confined to the loop's thread. */
+    private final class KeptRequest implements CallerExchange.Listener {
+        private final CallerRequest request;
+
+        KeptRequest(CallerRequest request) {
+            this.request = request;
+        }
+
+        @Override
+        public void onCallerDisconnected() {
+            // The exchange has ended, which the next check of the start finds.
+        }
+
+        @Override
+        public void onWritabilityChanged() {}
+
+        @Override
+        public OpenRequest describe(long arrivedAtMillis) {
+            return new OpenRequest(
+                    OpenRequest.State.KEPT_FOR_START,
+                    headerCodec.readRequest(request.headers()).attemptId().orElse(""),
+                    arrivedAtMillis,
+                    Optional.empty());
+        }
+    }
+
     void onRequestEnded() {
         inProgress--;
     }
--- a/router/src/main/java/io/heatherloft/router/request/RequestExecution.java
+++ b/router/src/main/java/io/heatherloft/router/request/RequestExecution.java
@@ -8,6 +8,7 @@
 import io.heatherloft.router.fleet.BackendServerState;
 import io.heatherloft.router.http.CallerExchange;
 import io.heatherloft.router.http.CallerRequest;
+import io.heatherloft.router.http.OpenRequest;
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpHeaders;
 import java.util.Optional;
@@ -463,6 +464,19 @@
         }
     }
 
+    @Override
+    public OpenRequest describe(long arrivedAtMillis) {
+        Optional<OpenRequest.Sent> sent = Optional.ofNullable(attempt)
+                .filter(Attempt::isInProgress)
+                .map(running -> new OpenRequest.Sent(running.server().entry().id(), running.sentAtMillis()));
+        OpenRequest.State unanswered = sent.isPresent() ? OpenRequest.State.SENT : OpenRequest.State.WAITING;
+        return new OpenRequest(
+                streamStarted ? OpenRequest.State.RESPONSE_BEGUN : unanswered,
+                metadata.attemptId().orElse(""),
+                arrivedAtMillis,
+                sent);
+    }
+
     private void finish(String outcome, int status) {
         ended = true;
         deadlineTimer.cancel();
