Pipelined requests keep their order and are all answered

Cause: the end of a response took the next request off the queue and started it in a later loop task. In between, the connection had neither a response in progress nor a queued request: a request that was read then was started at once, the task then found a response in progress and dropped its own; and closeIfIdle took the connection for idle. A server that drains closed the connection after the response in progress, whatever had been read behind it. Change: the next request stays queued until it is started. The response that carries 'Connection: close' is the last of those to requests that were read. A body that follows a response has the idle timeout as any other body, not the rest of the header's.

--- a/router/src/main/java/io/heatherloft/router/http/CallerConnection.java
+++ b/router/src/main/java/io/heatherloft/router/http/CallerConnection.java
@@ -67,7 +67,7 @@
 
     /** Closes the connection if no request is being received or handled. */
     void closeIfIdle() {
-        if (activeResponse == null && firstByteAtMillis < 0) {
+        if (activeResponse == null && !hasFollowingRequest()) {
             closeNow();
         }
     }
@@ -87,6 +87,11 @@
         return open.stream();
     }
 
+    /** Returns true if another request has arrived, completely or in part, since the one that is being handled. */
+    boolean hasFollowingRequest() {
+        return !pipelined.isEmpty() || firstByteAtMillis >= 0;
+    }
+
     private boolean hasUnsentOutput() {
         ChannelOutboundBuffer output = channel.unsafe().outboundBuffer();
         return output != null && output.totalPendingWriteBytes() > 0;
@@ -179,7 +184,7 @@
         requestHead = null;
         body = Unpooled.EMPTY_BUFFER;
         firstByteAtMillis = -1;
-        if (activeResponse != null) {
+        if (activeResponse != null || !pipelined.isEmpty()) {
             pipelined.add(request);
             channel.config().setAutoRead(pipelined.size() < MAX_PIPELINED_REQUESTS);
             return;
@@ -204,17 +209,20 @@
             closeAfterResponse();
             return;
         }
-        CallerRequest next = pipelined.poll();
-        if (next != null) {
-            channel.config().setAutoRead(true);
-            // A separate loop task bounds the stack depth when pipelined requests get immediate responses.
-            loop.execute(() -> {
-                if (!closing && activeResponse == null) {
-                    startRequest(next);
-                }
-            });
-        } else {
+        if (pipelined.isEmpty()) {
             startIdleTimer();
+        } else {
+            // A separate loop task bounds the stack depth when pipelined requests get immediate responses. The request
+            // stays
+            // queued until then, so that none that arrives meanwhile overtakes it.
+            loop.execute(this::startNextRequest);
+        }
+    }
+
+    private void startNextRequest() {
+        if (!closing && activeResponse == null && !pipelined.isEmpty()) {
+            channel.config().setAutoRead(true);
+            startRequest(pipelined.poll());
         }
     }
 
@@ -238,6 +246,8 @@
 
     private void closeAfterResponse() {
         closing = true;
+        // The caller has been told that requests after this response are not handled.
+        pipelined.clear();
         timer.cancel();
         // Closing a socket with unread input sends a reset, which can discard the response before the caller has read
         // it. The remaining input is therefore read and dropped.
@@ -271,6 +281,8 @@
     private void startIdleTimer() {
         if (firstByteAtMillis < 0) {
             restartTimer(limits().idleTimeoutMillis(), this::closeNow);
+        } else if (requestHead != null) {
+            restartTimer(limits().idleTimeoutMillis(), this::onBodyTimeout);
         } else {
             restartTimer(limits().headerTimeoutMillis(), this::onRequestTimeout);
         }
--- a/router/src/main/java/io/heatherloft/router/http/CallerServer.java
+++ b/router/src/main/java/io/heatherloft/router/http/CallerServer.java
@@ -106,7 +106,7 @@
         return ((InetSocketAddress) serverChannel.localAddress()).getPort();
     }
 
-    /** Starts draining: from now on, connections are closed after the current response. */
+    /** Starts draining: from now on, connections are closed after the last request that was read. */
     public void drain() {
         draining = true;
     }
--- a/router/src/main/java/io/heatherloft/router/http/ResponseWriter.java
+++ b/router/src/main/java/io/heatherloft/router/http/ResponseWriter.java
@@ -132,7 +132,7 @@
     }
 
     private HttpHeaders addConnectionHeader(HttpHeaders headers) {
-        keepAlive &= !server.isDraining();
+        keepAlive &= mayFollow();
         if (!keepAlive) {
             headers.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
         }
@@ -143,6 +143,11 @@
         ended = true;
         listener = NO_LISTENER;
         // Draining may have begun after the headers of a stream were sent without "Connection: close".
-        connection.onResponseEnded(this, keepAlive && !server.isDraining());
+        connection.onResponseEnded(this, keepAlive && mayFollow());
+    }
+
+    // A server that drains still answers the requests that it has read.
+    private boolean mayFollow() {
+        return !server.isDraining() || connection.hasFollowingRequest();
     }
 }
--- a/router/src/test/java/io/heatherloft/router/http/CallerServerTest.java
+++ b/router/src/test/java/io/heatherloft/router/http/CallerServerTest.java
@@ -35,6 +35,7 @@
     private final List<String> handled = new CopyOnWriteArrayList<>();
     private final List<CallerExchange> heldExchanges = new CopyOnWriteArrayList<>();
     private CallerServer server;
+    private Runnable beforeLateResponse = () -> {};
 
     @BeforeEach
     void listen() {
@@ -54,7 +55,10 @@
                 request.method() + " " + request.target() + " " + request.body().toText());
         if (request.path().startsWith("/hold/")) {
             heldExchanges.add(exchange);
-            loop.schedule(SHORT_TIMEOUT_MILLIS, () -> respond(exchange, "late"));
+            loop.schedule(SHORT_TIMEOUT_MILLIS, () -> {
+                beforeLateResponse.run();
+                respond(exchange, "late");
+            });
         } else {
             respond(exchange, request.path());
         }
@@ -64,6 +68,27 @@
         exchange.sendResponse(200, new DefaultHttpHeaders(), Unpooled.copiedBuffer(text, StandardCharsets.UTF_8));
     }
 
+    private void listenWith(Loop serverLoop, CallerLimits limits) {
+        server = new CallerServer(group, serverLoop, () -> limits, this::handle, _status -> {});
+        server.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0))
+                .join();
+    }
+
+    private Socket connect() throws IOException {
+        Socket socket = new Socket();
+        socket.setSoTimeout(READ_TIMEOUT_MILLIS);
+        socket.connect(new InetSocketAddress(InetAddress.getLoopbackAddress(), server.port()));
+        return socket;
+    }
+
+    private static void write(Socket socket, String bytes) throws IOException {
+        socket.getOutputStream().write(bytes.getBytes(StandardCharsets.ISO_8859_1));
+    }
+
+    private static String readAll(Socket socket) throws IOException {
+        return new String(socket.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+    }
+
     private String send(String bytes) throws IOException {
         try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), server.port())) {
             socket.setSoTimeout(READ_TIMEOUT_MILLIS);
@@ -190,4 +215,58 @@
             assertThat(send("GET /a/ HTTP/1.1\r\nHost: a\r\n\r\n")).doesNotContain("0\r\n\r\n");
         }
     }
+
+    @Nested
+    final class APipelinedRequest {
+        // A request that arrived between the end of a response and the start of the next request overtook that request,
+        // which
+        // was dropped (review/2).
+        @Test
+        void is_not_overtaken_by_one_that_arrives_while_it_is_started() throws IOException {
+            Loop slowToExecute = new Loop() {
+                @Override
+                public long nowMillis() {
+                    return loop.nowMillis();
+                }
+
+                @Override
+                public void execute(Runnable task) {
+                    loop.schedule(SHORT_TIMEOUT_MILLIS, task);
+                }
+
+                @Override
+                public Cancellation schedule(long delayMillis, Runnable task) {
+                    return loop.schedule(delayMillis, task);
+                }
+            };
+            listenWith(slowToExecute, CallerLimits.DEFAULT);
+            try (Socket socket = connect()) {
+                write(socket, "GET /hold/1 HTTP/1.1\r\nHost: a\r\n\r\nGET /second HTTP/1.1\r\nHost: a\r\n\r\n");
+                byte[] first = socket.getInputStream().readNBytes(1);
+                write(socket, "GET /third HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
+                assertThat(first).hasLength(1);
+                String response = readAll(socket);
+                assertThat(response.indexOf("/second")).isAtLeast(0);
+                assertThat(response.indexOf("/second")).isLessThan(response.indexOf("/third"));
+            }
+        }
+
+        // Between two pipelined requests the connection looked idle, and a stop closed it.
+        @Test
+        void is_answered_although_idle_connections_are_closed_while_it_is_started() throws IOException {
+            beforeLateResponse = () -> loop.execute(server::closeIdleConnections);
+            assertThat(send("GET /hold/1 HTTP/1.1\r\nHost: a\r\n\r\n"
+                            + "GET /second HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n"))
+                    .contains("/second");
+        }
+
+        // The first response closed the connection of a server that drains, and requests read after it were dropped.
+        @Test
+        void is_answered_by_a_server_that_drains() throws IOException {
+            beforeLateResponse = server::drain;
+            String response = send("GET /hold/1 HTTP/1.1\r\nHost: a\r\n\r\nGET /second HTTP/1.1\r\nHost: a\r\n\r\n");
+            assertThat(response).contains("/second");
+            assertThat(response.split("connection: close", -1)).hasLength(2);
+        }
+    }
 }
