A response that its caller still reads is not cut

Cause: a response counted as ended once it was handed to Netty; Netty's close then drops what the socket has not taken. The idle timer and the lingering close ran from that moment, and closeIfIdle went past the lingering close, whose reset can destroy the response. Change: the lingering close begins when the socket has the response, and closeIfIdle leaves it alone. A connection with output left is not idle; it is closed once its caller has read nothing of it for the idle timeout. Bytes that arrive during a lingering close start no timer. An idle connection whose response was written in the last second is closed for output first; others are closed at once, so that a request that crosses the close is reset unread and may be sent again. Tests: CallerServerTest.ALongResponse; three of its four tests failed before the change (one run) and pass; the fourth, a caller that reads nothing, guards the bound and passed before too.

--- a/router/src/main/java/io/heatherloft/router/http/CallerConnection.java
+++ b/router/src/main/java/io/heatherloft/router/http/CallerConnection.java
@@ -7,7 +7,6 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelOutboundBuffer;
@@ -57,6 +56,7 @@
     private long firstByteAtMillis = -1;
     private long lastByteAtMillis;
     private long lastArrivedAtMillis;
+    private long lastWrittenAtMillis;
     private boolean closing;
 
     CallerConnection(Loop loop, CallerServer server, Channel channel) {
@@ -65,9 +65,15 @@
         this.channel = channel;
     }
 
-    /** Closes the connection if no request is being received or handled. */
+    /** Closes the connection if no request is being received or handled and the caller's socket has all responses. */
     void closeIfIdle() {
-        if (activeResponse == null && !hasFollowingRequest()) {
+        if (closing || activeResponse != null || hasFollowingRequest() || hasUnsentOutput()) {
+            return;
+        }
+        if (loop.nowMillis() - lastWrittenAtMillis < LINGER_MILLIS) {
+            closeAfterResponse();
+        } else {
+            // Input that has not been read stays so: the reset tells the caller that its request has not been run.
             closeNow();
         }
     }
@@ -93,8 +99,12 @@
     }
 
     private boolean hasUnsentOutput() {
+        return unsentBytes() > 0;
+    }
+
+    private long unsentBytes() {
         ChannelOutboundBuffer output = channel.unsafe().outboundBuffer();
-        return output != null && output.totalPendingWriteBytes() > 0;
+        return output == null ? 0 : output.totalPendingWriteBytes() - output.currentProgress();
     }
 
     @Override
@@ -105,7 +115,7 @@
     /** Called when bytes have arrived, before they are parsed. */
     void onBytesReceived() {
         lastByteAtMillis = loop.nowMillis();
-        if (firstByteAtMillis < 0 && activeResponse == null) {
+        if (firstByteAtMillis < 0 && activeResponse == null && !closing) {
             firstByteAtMillis = lastByteAtMillis;
             restartTimer(limits().headerTimeoutMillis(), this::onRequestTimeout);
         }
@@ -248,15 +258,17 @@
         closing = true;
         // The caller has been told that requests after this response are not handled.
         pipelined.clear();
-        timer.cancel();
+        startInactivityTimer();
         // Closing a socket with unread input sends a reset, which can discard the response before the caller has read
         // it. The remaining input is therefore read and dropped.
         channel.config().setAutoRead(true);
-        channel.write(Unpooled.EMPTY_BUFFER).addListener(_written -> {
-            ChannelFuture _shutdown = ((SocketChannel) channel).shutdownOutput();
+        channel.write(Unpooled.EMPTY_BUFFER).addListener(written -> {
+            if (written.isSuccess()) {
+                ChannelFuture _shutdown = ((SocketChannel) channel).shutdownOutput();
+                restartTimer(LINGER_MILLIS, this::closeNow);
+            }
         });
         channel.flush();
-        timer = loop.schedule(LINGER_MILLIS, this::closeNow);
     }
 
     private void onRequestTimeout() {
@@ -280,7 +292,7 @@
 
     private void startIdleTimer() {
         if (firstByteAtMillis < 0) {
-            restartTimer(limits().idleTimeoutMillis(), this::closeNow);
+            startInactivityTimer();
         } else if (requestHead != null) {
             restartTimer(limits().idleTimeoutMillis(), this::onBodyTimeout);
         } else {
@@ -288,6 +300,18 @@
         }
     }
 
+    // Closes the connection once the caller has neither sent anything nor read any of the output for the idle timeout.
+    private void startInactivityTimer() {
+        long unsentBytes = unsentBytes();
+        restartTimer(limits().idleTimeoutMillis(), () -> {
+            if (unsentBytes() < unsentBytes) {
+                startInactivityTimer();
+            } else {
+                closeNow();
+            }
+        });
+    }
+
     private void restartTimer(long delayMillis, Runnable task) {
         timer.cancel();
         timer = loop.schedule(delayMillis, task);
@@ -314,7 +338,13 @@
     }
 
     void write(Object message) {
-        channel.writeAndFlush(message).addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
+        channel.writeAndFlush(message).addListener(written -> {
+            if (written.isSuccess()) {
+                lastWrittenAtMillis = loop.nowMillis();
+            } else {
+                closeNow();
+            }
+        });
     }
 
     @Override
--- a/router/src/main/java/io/heatherloft/router/http/CallerServer.java
+++ b/router/src/main/java/io/heatherloft/router/http/CallerServer.java
@@ -111,7 +111,7 @@
         draining = true;
     }
 
-    /** Closes all connections that have no request in progress. */
+    /** Closes all connections on which no request is open. */
     public void closeIdleConnections() {
         List.copyOf(connections).forEach(CallerConnection::closeIfIdle);
     }
--- a/router/src/test/java/io/heatherloft/router/http/CallerServerTest.java
+++ b/router/src/test/java/io/heatherloft/router/http/CallerServerTest.java
@@ -16,6 +16,7 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -27,6 +28,11 @@
 final class CallerServerTest {
     private static final int READ_TIMEOUT_MILLIS = 20_000;
     private static final long SHORT_TIMEOUT_MILLIS = 150L;
+    private static final int RECEIVE_BUFFER_BYTES = 8_192;
+    // More than the operating system buffers for a connection.
+    private static final int LONG_RESPONSE_BYTES = 16_000_000;
+    private static final long SLOW_READER_PAUSE_MILLIS = 1_500L;
+    private static final int SLOW_READER_PARTS = 50;
     private static final CallerLimits LIMITS =
             new CallerLimits(1_024, 100, SHORT_TIMEOUT_MILLIS, 2 * SHORT_TIMEOUT_MILLIS);
 
@@ -59,6 +65,8 @@
                 beforeLateResponse.run();
                 respond(exchange, "late");
             });
+        } else if (request.path().startsWith("/long/")) {
+            respond(exchange, "x".repeat(LONG_RESPONSE_BYTES));
         } else {
             respond(exchange, request.path());
         }
@@ -74,8 +82,10 @@
                 .join();
     }
 
+    /** Connects with a receive buffer that is small compared with a long response. */
     private Socket connect() throws IOException {
         Socket socket = new Socket();
+        socket.setReceiveBufferSize(RECEIVE_BUFFER_BYTES);
         socket.setSoTimeout(READ_TIMEOUT_MILLIS);
         socket.connect(new InetSocketAddress(InetAddress.getLoopbackAddress(), server.port()));
         return socket;
@@ -269,4 +279,67 @@
             assertThat(response.split("connection: close", -1)).hasLength(2);
         }
     }
+
+    @Nested
+    final class ALongResponse {
+        // Closing a connection drops what the socket has not taken.
+        @Test
+        void reaches_a_slow_reader_although_idle_connections_are_closed() throws IOException {
+            listenWith(loop, CallerLimits.DEFAULT);
+            try (Socket socket = connect()) {
+                write(socket, "GET /long/ HTTP/1.1\r\nHost: a\r\n\r\n");
+                byte[] first = socket.getInputStream().readNBytes(1);
+                CompletableFuture<Void> closed = new CompletableFuture<>();
+                loop.execute(() -> {
+                    server.closeIdleConnections();
+                    closed.complete(null);
+                });
+                closed.join();
+                byte[] rest = socket.getInputStream().readNBytes(LONG_RESPONSE_BYTES);
+                assertThat(first.length + rest.length).isAtLeast(LONG_RESPONSE_BYTES);
+            }
+        }
+
+        // The connection was closed one second after the end of its last response, although the caller still read it.
+        @Test
+        void reaches_a_slow_reader_as_the_last_response_of_its_connection() throws Exception {
+            listenWith(loop, CallerLimits.DEFAULT);
+            try (Socket socket = connect()) {
+                write(socket, "GET /long/ HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
+                byte[] first = socket.getInputStream().readNBytes(1);
+                Thread.sleep(SLOW_READER_PAUSE_MILLIS);
+                int rest = socket.getInputStream().readAllBytes().length;
+                assertThat(first.length + rest).isAtLeast(LONG_RESPONSE_BYTES);
+            }
+        }
+
+        // The idle timeout counted from the end of the response, not from when the caller had taken it.
+        @Test
+        void reaches_a_caller_that_reads_for_longer_than_the_idle_timeout() throws Exception {
+            listenWith(loop, new CallerLimits(1_024, 100, SLOW_READER_PAUSE_MILLIS, SLOW_READER_PAUSE_MILLIS));
+            try (Socket socket = connect()) {
+                write(socket, "GET /long/ HTTP/1.1\r\nHost: a\r\n\r\n");
+                int received = 0;
+                for (int part = 0; part < SLOW_READER_PARTS; part++) {
+                    received += socket.getInputStream().readNBytes(LONG_RESPONSE_BYTES / SLOW_READER_PARTS).length;
+                    Thread.sleep(2 * SLOW_READER_PAUSE_MILLIS / SLOW_READER_PARTS);
+                }
+                assertThat(received).isEqualTo(LONG_RESPONSE_BYTES / SLOW_READER_PARTS * SLOW_READER_PARTS);
+            }
+        }
+
+        // A caller that reads nothing must not hold a connection for ever.
+        @Test
+        void is_given_up_when_its_caller_reads_nothing_for_the_idle_timeout() throws IOException {
+            try (Socket socket = connect()) {
+                write(socket, "GET /long/ HTTP/1.1\r\nHost: a\r\n\r\n");
+                while (handled.isEmpty()
+                        || CompletableFuture.supplyAsync(server::connectionCount, loop::execute)
+                                        .join()
+                                > 0) {
+                    Thread.onSpinWait();
+                }
+            }
+        }
+    }
 }
