--- a/router/src/main/java/io/heatherloft/router/http/CallerConnection.java
+++ b/router/src/main/java/io/heatherloft/router/http/CallerConnection.java
@@ -7,9 +7,9 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
@@ -25,8 +25,11 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.Deque;
+import java.util.List;
 import java.util.Optional;
+import java.util.stream.Stream;
 
 /**
  * One connection of a caller: aggregates requests, passes them to the handler one at a time and writes the responses in
@@ -52,6 +55,8 @@
     private Loop.Cancellation timer = () -> {};
     private long firstByteAtMillis = -1;
     private long lastByteAtMillis;
+    private long lastArrivedAtMillis;
+    private long lastWrittenAtMillis;
     private boolean closing;
 
     CallerConnection(Loop loop, CallerServer server, Channel channel) {
@@ -60,13 +65,48 @@
         this.channel = channel;
     }
 
-    /** Closes the connection if no request is being received or handled. */
+    /** Closes the connection if no request is being received or handled and the caller's socket has all responses. */
     void closeIfIdle() {
-        if (activeResponse == null && firstByteAtMillis < 0) {
+        if (closing || activeResponse != null || hasFollowingRequest() || hasUnsentOutput()) {
+            return;
+        }
+        if (loop.nowMillis() - lastWrittenAtMillis < LINGER_MILLIS) {
+            closeAfterResponse();
+        } else {
+            // Input that has not been read stays so: the reset tells the caller that its request has not been run.
             closeNow();
         }
     }
 
+    /** Returns the requests of this connection that have no complete response in the caller's socket. */
+    Stream<OpenRequest> openRequests() {
+        List<OpenRequest> open = new ArrayList<>();
+        if (activeResponse != null) {
+            open.add(activeResponse.describe());
+        } else if (hasUnsentOutput()) {
+            open.add(OpenRequest.of(OpenRequest.State.RESPONSE_IN_BUFFER, lastArrivedAtMillis));
+        }
+        pipelined.forEach(request -> open.add(OpenRequest.of(OpenRequest.State.PIPELINED, request.arrivedAtMillis())));
+        if (firstByteAtMillis >= 0 && !closing) {
+            open.add(OpenRequest.of(OpenRequest.State.ARRIVING, firstByteAtMillis));
+        }
+        return open.stream();
+    }
+
+    /** Returns true if another request has arrived, completely or in part, since the one that is being handled. */
+    boolean hasFollowingRequest() {
+        return !pipelined.isEmpty() || firstByteAtMillis >= 0;
+    }
+
+    private boolean hasUnsentOutput() {
+        return unsentBytes() > 0;
+    }
+
+    private long unsentBytes() {
+        ChannelOutboundBuffer output = channel.unsafe().outboundBuffer();
+        return output == null ? 0 : output.totalPendingWriteBytes() - output.currentProgress();
+    }
+
     @Override
     public void channelActive(ChannelHandlerContext _context) {
         startIdleTimer();
@@ -75,7 +115,7 @@
     /** Called when bytes have arrived, before they are parsed. */
     void onBytesReceived() {
         lastByteAtMillis = loop.nowMillis();
-        if (firstByteAtMillis < 0 && activeResponse == null) {
+        if (firstByteAtMillis < 0 && activeResponse == null && !closing) {
             firstByteAtMillis = lastByteAtMillis;
             restartTimer(limits().headerTimeoutMillis(), this::onRequestTimeout);
         }
@@ -154,7 +194,7 @@
         requestHead = null;
         body = Unpooled.EMPTY_BUFFER;
         firstByteAtMillis = -1;
-        if (activeResponse != null) {
+        if (activeResponse != null || !pipelined.isEmpty()) {
             pipelined.add(request);
             channel.config().setAutoRead(pipelined.size() < MAX_PIPELINED_REQUESTS);
             return;
@@ -164,7 +204,8 @@
 
     private void startRequest(CallerRequest request) {
         timer.cancel();
-        activeResponse = new ResponseWriter(this, channel, server, isKeepAlive(request));
+        activeResponse = new ResponseWriter(this, channel, server, request.arrivedAtMillis(), isKeepAlive(request));
+        lastArrivedAtMillis = request.arrivedAtMillis();
         server.handler().onRequest(request, activeResponse);
     }
 
@@ -178,17 +219,20 @@
             closeAfterResponse();
             return;
         }
-        CallerRequest next = pipelined.poll();
-        if (next != null) {
-            channel.config().setAutoRead(true);
-            // A separate loop task bounds the stack depth when pipelined requests get immediate responses.
-            loop.execute(() -> {
-                if (!closing && activeResponse == null) {
-                    startRequest(next);
-                }
-            });
-        } else {
+        if (pipelined.isEmpty()) {
             startIdleTimer();
+        } else {
+            // A separate loop task bounds the stack depth when pipelined requests get immediate responses. The request
+            // stays
+            // queued until then, so that none that arrives meanwhile overtakes it.
+            loop.execute(this::startNextRequest);
+        }
+    }
+
+    private void startNextRequest() {
+        if (!closing && activeResponse == null && !pipelined.isEmpty()) {
+            channel.config().setAutoRead(true);
+            startRequest(pipelined.poll());
         }
     }
 
@@ -212,15 +256,19 @@
 
     private void closeAfterResponse() {
         closing = true;
-        timer.cancel();
+        // The caller has been told that requests after this response are not handled.
+        pipelined.clear();
+        startInactivityTimer();
         // Closing a socket with unread input sends a reset, which can discard the response before the caller has read
         // it. The remaining input is therefore read and dropped.
         channel.config().setAutoRead(true);
-        channel.write(Unpooled.EMPTY_BUFFER).addListener(_written -> {
-            ChannelFuture _shutdown = ((SocketChannel) channel).shutdownOutput();
+        channel.write(Unpooled.EMPTY_BUFFER).addListener(written -> {
+            if (written.isSuccess()) {
+                ChannelFuture _shutdown = ((SocketChannel) channel).shutdownOutput();
+                restartTimer(LINGER_MILLIS, this::closeNow);
+            }
         });
         channel.flush();
-        timer = loop.schedule(LINGER_MILLIS, this::closeNow);
     }
 
     private void onRequestTimeout() {
@@ -244,12 +292,26 @@
 
     private void startIdleTimer() {
         if (firstByteAtMillis < 0) {
-            restartTimer(limits().idleTimeoutMillis(), this::closeNow);
+            startInactivityTimer();
+        } else if (requestHead != null) {
+            restartTimer(limits().idleTimeoutMillis(), this::onBodyTimeout);
         } else {
             restartTimer(limits().headerTimeoutMillis(), this::onRequestTimeout);
         }
     }
 
+    // Closes the connection once the caller has neither sent anything nor read any of the output for the idle timeout.
+    private void startInactivityTimer() {
+        long unsentBytes = unsentBytes();
+        restartTimer(limits().idleTimeoutMillis(), () -> {
+            if (unsentBytes() < unsentBytes) {
+                startInactivityTimer();
+            } else {
+                closeNow();
+            }
+        });
+    }
+
     private void restartTimer(long delayMillis, Runnable task) {
         timer.cancel();
         timer = loop.schedule(delayMillis, task);
@@ -276,7 +338,13 @@
     }
 
     void write(Object message) {
-        channel.writeAndFlush(message).addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
+        channel.writeAndFlush(message).addListener(written -> {
+            if (written.isSuccess()) {
+                lastWrittenAtMillis = loop.nowMillis();
+            } else {
+                closeNow();
+            }
+        });
     }
 
     @Override
--- a/router/src/main/java/io/heatherloft/router/http/CallerServer.java
+++ b/router/src/main/java/io/heatherloft/router/http/CallerServer.java
@@ -106,12 +106,12 @@
         return ((InetSocketAddress) serverChannel.localAddress()).getPort();
     }
 
-    /** Starts draining: from now on, connections are closed after the current response. */
+    /** Starts draining: from now on, connections are closed after the last request that was read. */
     public void drain() {
         draining = true;
     }
 
-    /** Closes all connections that have no request in progress. */
+    /** Closes all connections on which no request is open. */
     public void closeIdleConnections() {
         List.copyOf(connections).forEach(CallerConnection::closeIfIdle);
     }
@@ -123,6 +123,11 @@
         }
     }
 
+    /** Returns the requests that were accepted and whose responses are not completely in the callers' sockets. */
+    public List<OpenRequest> openRequests() {
+        return connections.stream().flatMap(CallerConnection::openRequests).toList();
+    }
+
     /** Returns the number of open connections. */
     public int connectionCount() {
         return connections.size();
--- a/router/src/main/java/io/heatherloft/router/http/ResponseWriter.java
+++ b/router/src/main/java/io/heatherloft/router/http/ResponseWriter.java
@@ -30,14 +30,21 @@
     private final CallerConnection connection;
     private final Channel channel;
     private final CallerServer server;
+    private final long arrivedAtMillis;
     private Listener listener = NO_LISTENER;
     private boolean keepAlive;
     private boolean ended;
 
-    ResponseWriter(CallerConnection connection, Channel channel, CallerServer server, boolean keepAlive) {
+    ResponseWriter(
+            CallerConnection connection,
+            Channel channel,
+            CallerServer server,
+            long arrivedAtMillis,
+            boolean keepAlive) {
         this.connection = connection;
         this.channel = channel;
         this.server = server;
+        this.arrivedAtMillis = arrivedAtMillis;
         this.keepAlive = keepAlive;
     }
 
@@ -46,6 +53,10 @@
         keepAlive = false;
     }
 
+    OpenRequest describe() {
+        return listener.describe(arrivedAtMillis);
+    }
+
     void onWritabilityChanged() {
         listener.onWritabilityChanged();
     }
@@ -121,7 +132,7 @@
     }
 
     private HttpHeaders addConnectionHeader(HttpHeaders headers) {
-        keepAlive &= !server.isDraining();
+        keepAlive &= mayFollow();
         if (!keepAlive) {
             headers.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
         }
@@ -132,6 +143,11 @@
         ended = true;
         listener = NO_LISTENER;
         // Draining may have begun after the headers of a stream were sent without "Connection: close".
-        connection.onResponseEnded(this, keepAlive && !server.isDraining());
+        connection.onResponseEnded(this, keepAlive && mayFollow());
+    }
+
+    // A server that drains still answers the requests that it has read.
+    private boolean mayFollow() {
+        return !server.isDraining() || connection.hasFollowingRequest();
     }
 }
--- a/router/src/test/java/io/heatherloft/router/http/CallerServerTest.java
+++ b/router/src/test/java/io/heatherloft/router/http/CallerServerTest.java
@@ -16,6 +16,7 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -27,6 +28,11 @@
 final class CallerServerTest {
     private static final int READ_TIMEOUT_MILLIS = 20_000;
     private static final long SHORT_TIMEOUT_MILLIS = 150L;
+    private static final int RECEIVE_BUFFER_BYTES = 8_192;
+    // More than the operating system buffers for a connection.
+    private static final int LONG_RESPONSE_BYTES = 16_000_000;
+    private static final long SLOW_READER_PAUSE_MILLIS = 1_500L;
+    private static final int SLOW_READER_PARTS = 50;
     private static final CallerLimits LIMITS =
             new CallerLimits(1_024, 100, SHORT_TIMEOUT_MILLIS, 2 * SHORT_TIMEOUT_MILLIS);
 
@@ -35,6 +41,7 @@
     private final List<String> handled = new CopyOnWriteArrayList<>();
     private final List<CallerExchange> heldExchanges = new CopyOnWriteArrayList<>();
     private CallerServer server;
+    private Runnable beforeLateResponse = () -> {};
 
     @BeforeEach
     void listen() {
@@ -54,7 +61,12 @@
                 request.method() + " " + request.target() + " " + request.body().toText());
         if (request.path().startsWith("/hold/")) {
             heldExchanges.add(exchange);
-            loop.schedule(SHORT_TIMEOUT_MILLIS, () -> respond(exchange, "late"));
+            loop.schedule(SHORT_TIMEOUT_MILLIS, () -> {
+                beforeLateResponse.run();
+                respond(exchange, "late");
+            });
+        } else if (request.path().startsWith("/long/")) {
+            respond(exchange, "x".repeat(LONG_RESPONSE_BYTES));
         } else {
             respond(exchange, request.path());
         }
@@ -64,6 +76,29 @@
         exchange.sendResponse(200, new DefaultHttpHeaders(), Unpooled.copiedBuffer(text, StandardCharsets.UTF_8));
     }
 
+    private void listenWith(Loop serverLoop, CallerLimits limits) {
+        server = new CallerServer(group, serverLoop, () -> limits, this::handle, _status -> {});
+        server.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0))
+                .join();
+    }
+
+    /** Connects with a receive buffer that is small compared with a long response. */
+    private Socket connect() throws IOException {
+        Socket socket = new Socket();
+        socket.setReceiveBufferSize(RECEIVE_BUFFER_BYTES);
+        socket.setSoTimeout(READ_TIMEOUT_MILLIS);
+        socket.connect(new InetSocketAddress(InetAddress.getLoopbackAddress(), server.port()));
+        return socket;
+    }
+
+    private static void write(Socket socket, String bytes) throws IOException {
+        socket.getOutputStream().write(bytes.getBytes(StandardCharsets.ISO_8859_1));
+    }
+
+    private static String readAll(Socket socket) throws IOException {
+        return new String(socket.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+    }
+
     private String send(String bytes) throws IOException {
         try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), server.port())) {
             socket.setSoTimeout(READ_TIMEOUT_MILLIS);
@@ -190,4 +225,121 @@
             assertThat(send("GET /a/ HTTP/1.1\r\nHost: a\r\n\r\n")).doesNotContain("0\r\n\r\n");
         }
     }
+
+    @Nested
+    final class APipelinedRequest {
+        // A request that arrived between the end of a response and the start of the next request overtook that request,
+        // which
+        // was dropped (review/2).
+        @Test
+        void is_not_overtaken_by_one_that_arrives_while_it_is_started() throws IOException {
+            Loop slowToExecute = new Loop() {
+                @Override
+                public long nowMillis() {
+                    return loop.nowMillis();
+                }
+
+                @Override
+                public void execute(Runnable task) {
+                    loop.schedule(SHORT_TIMEOUT_MILLIS, task);
+                }
+
+                @Override
+                public Cancellation schedule(long delayMillis, Runnable task) {
+                    return loop.schedule(delayMillis, task);
+                }
+            };
+            listenWith(slowToExecute, CallerLimits.DEFAULT);
+            try (Socket socket = connect()) {
+                write(socket, "GET /hold/1 HTTP/1.1\r\nHost: a\r\n\r\nGET /second HTTP/1.1\r\nHost: a\r\n\r\n");
+                byte[] first = socket.getInputStream().readNBytes(1);
+                write(socket, "GET /third HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
+                assertThat(first).hasLength(1);
+                String response = readAll(socket);
+                assertThat(response.indexOf("/second")).isAtLeast(0);
+                assertThat(response.indexOf("/second")).isLessThan(response.indexOf("/third"));
+            }
+        }
+
+        // Between two pipelined requests the connection looked idle, and a stop closed it.
+        @Test
+        void is_answered_although_idle_connections_are_closed_while_it_is_started() throws IOException {
+            beforeLateResponse = () -> loop.execute(server::closeIdleConnections);
+            assertThat(send("GET /hold/1 HTTP/1.1\r\nHost: a\r\n\r\n"
+                            + "GET /second HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n"))
+                    .contains("/second");
+        }
+
+        // The first response closed the connection of a server that drains, and requests read after it were dropped.
+        @Test
+        void is_answered_by_a_server_that_drains() throws IOException {
+            beforeLateResponse = server::drain;
+            String response = send("GET /hold/1 HTTP/1.1\r\nHost: a\r\n\r\nGET /second HTTP/1.1\r\nHost: a\r\n\r\n");
+            assertThat(response).contains("/second");
+            assertThat(response.split("connection: close", -1)).hasLength(2);
+        }
+    }
+
+    @Nested
+    final class ALongResponse {
+        // Closing a connection drops what the socket has not taken.
+        @Test
+        void reaches_a_slow_reader_although_idle_connections_are_closed() throws IOException {
+            listenWith(loop, CallerLimits.DEFAULT);
+            try (Socket socket = connect()) {
+                write(socket, "GET /long/ HTTP/1.1\r\nHost: a\r\n\r\n");
+                byte[] first = socket.getInputStream().readNBytes(1);
+                CompletableFuture<Void> closed = new CompletableFuture<>();
+                loop.execute(() -> {
+                    server.closeIdleConnections();
+                    closed.complete(null);
+                });
+                closed.join();
+                byte[] rest = socket.getInputStream().readNBytes(LONG_RESPONSE_BYTES);
+                assertThat(first.length + rest.length).isAtLeast(LONG_RESPONSE_BYTES);
+            }
+        }
+
+        // The connection was closed one second after the end of its last response, although the caller still read it.
+        @Test
+        void reaches_a_slow_reader_as_the_last_response_of_its_connection() throws Exception {
+            listenWith(loop, CallerLimits.DEFAULT);
+            try (Socket socket = connect()) {
+                write(socket, "GET /long/ HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
+                byte[] first = socket.getInputStream().readNBytes(1);
+                Thread.sleep(SLOW_READER_PAUSE_MILLIS);
+                int rest = socket.getInputStream().readAllBytes().length;
+                assertThat(first.length + rest).isAtLeast(LONG_RESPONSE_BYTES);
+            }
+        }
+
+        // The idle timeout counted from the end of the response, not from when the caller had taken it.
+        @Test
+        void reaches_a_caller_that_reads_for_longer_than_the_idle_timeout() throws Exception {
+            listenWith(loop, new CallerLimits(1_024, 100, SLOW_READER_PAUSE_MILLIS, SLOW_READER_PAUSE_MILLIS));
+            try (Socket socket = connect()) {
+                write(socket, "GET /long/ HTTP/1.1\r\nHost: a\r\n\r\n");
+                int received = 0;
+                for (int part = 0; part < SLOW_READER_PARTS; part++) {
+                    received += socket.getInputStream().readNBytes(LONG_RESPONSE_BYTES / SLOW_READER_PARTS).length;
+                    Thread.sleep(2 * SLOW_READER_PAUSE_MILLIS / SLOW_READER_PARTS);
+                }
+                assertThat(received).isEqualTo(LONG_RESPONSE_BYTES / SLOW_READER_PARTS * SLOW_READER_PARTS);
+            }
+        }
+
+        // A caller that reads nothing must not hold a connection for ever.
+        @Test
+        void is_given_up_when_its_caller_reads_nothing_for_the_idle_timeout() throws IOException {
+            try (Socket socket = connect()) {
+                write(socket, "GET /long/ HTTP/1.1\r\nHost: a\r\n\r\n");
+                while (handled.isEmpty()
+                        || CompletableFuture.supplyAsync(server::connectionCount, loop::execute)
+                                        .join()
+                                > 0) {
+                    Thread.onSpinWait();
+                }
+            }
+        }
+    }
 }
