A host that stops refuses in time what it cannot serve

Callers of a host that was stopped under overload saw their connections closed without an answer 7.3 s after the signal, although their requests had been read as a whole and never sent to a server. Others were sent so late that the end cut them off without an excuse.

Cause: EntryHost ends 0.7 s before the end of the grace period, and nothing told the admission control or the retries of it. Requests went on waiting for up to three quarters of their time.

Change: StopDeadlines reach RequestEngine, AdmissionControl and ServiceAdmission. A request whose deadline lies before the end is treated as always. Any other is sent, first or again, with or without admission control, only until 2.5 s after the signal, and waits only if it is expected to end before the end. An attempt that is running is kept. Each such refusal is logged as "stop" with how long the request had waited. The order in the queue is unchanged: what is left in it either ends in time or is refused in time, and other hosts have the same servers for what is refused. A request that could outlast the host has no place kept for its priority, for the same reason.

--- a/domain/src/main/java/io/heatherloft/domain/admission/ServiceAdmission.java
+++ b/domain/src/main/java/io/heatherloft/domain/admission/ServiceAdmission.java
@@ -15,7 +15,8 @@
  *
  * <p>A request is {@link #add}ed, then the requests for which there is capacity are taken by {@link #next}, and if it still
  * waits, {@link #settle} decides whether it may. So no request is refused while a known server has capacity for it.
- * Invariants: a waiting request is refused while its caller still has a quarter of the time; the queue is bounded.
+ * Invariants: a waiting request is refused while its caller still has a quarter of the time; the queue is bounded; a host
+ * that stops sends and keeps nothing that {@link StopDeadlines} forbid.
  * Confined to one thread.
  *
  * @param <T> type of the requests
@@ -38,6 +39,7 @@
     private final AdmissionQueue<T> queue = new AdmissionQueue<>();
     private final FreedSlots freedSlots = new FreedSlots();
     private final Map<String, Return> returns = BoundedMap.withFifoEviction(MAX_KNOWN_RETURNS);
+    private StopDeadlines stop = StopDeadlines.NONE;
     private int inProgress;
 
     private record Return(long earliestMillis, long latestMillis) {}
@@ -55,8 +57,14 @@
      * A request that is refused.
      *
      * @param displaced true if it is refused in favour of another request
+     * @param stopping true if the host stops and another one should take the request
      */
-    public record Refusal<T>(AdmissionRequest<T> request, Estimate estimate, boolean displaced) {}
+    public record Refusal<T>(AdmissionRequest<T> request, Estimate estimate, boolean displaced, boolean stopping) {}
+
+    /** Sets the deadlines of a host that has begun to stop. */
+    public void beginStop(StopDeadlines deadlines) {
+        stop = deadlines;
+    }
 
     /** Adds a request to the queue. */
     public void add(AdmissionRequest<T> request) {
@@ -68,9 +76,10 @@
         return queue.remove(request);
     }
 
-    /** Removes and returns the next request that {@code fits} accepts. */
+    /** Removes and returns the next request that {@code fits} accepts and that may still be sent. */
     public Optional<AdmissionRequest<T>> next(Predicate<AdmissionRequest<T>> fits, long nowMillis) {
-        return queue.next(fits, nowMillis);
+        return queue.next(
+                request -> stop.maySend(request.deadlineAtMillis(), nowMillis) && fits.test(request), nowMillis);
     }
 
     /** Returns the number of waiting requests. */
@@ -129,13 +138,17 @@
      */
     public Optional<Refusal<T>> settle(AdmissionRequest<T> request, long nowMillis) {
         Estimate estimate = estimate(request, nowMillis);
-        long latestMillis = request.refusedAtMillis(estimate.serviceMillis());
+        long latestMillis = latestMillis(request);
         int capacity = capacity(nowMillis);
         if (nowMillis >= latestMillis) {
             return Optional.of(refuse(request, estimate, false));
         }
         boolean full = queue.size() > capacity;
         boolean late = isLate(estimate, 0, latestMillis, nowMillis);
+        if (late && stop.outlasts(request.deadlineAtMillis())) {
+            // Another host may have capacity for it, so it needs no place that its priority keeps here.
+            return Optional.of(refuse(request, estimate, false));
+        }
         if ((!full && !late) || queue.sizeOf(request.priority()) <= capacity / PLACES_DIVISOR) {
             return Optional.empty();
         }
@@ -157,12 +170,17 @@
         return nowMillis + share * estimate.waitMillis().getAsDouble() > latestMillis;
     }
 
+    // The time at which a request that still waits is refused.
+    private long latestMillis(AdmissionRequest<T> request) {
+        double serviceMillis = freedSlots.expectedMillis(request.work());
+        return Math.min(
+                request.refusedAtMillis(serviceMillis),
+                stop.latestSendMillis(request.deadlineAtMillis(), serviceMillis));
+    }
+
     // The number of requests that can be served before the last of them would be refused.
     private int capacity(long nowMillis) {
-        long lastMillis = queue.all()
-                .mapToLong(request -> request.refusedAtMillis(freedSlots.expectedMillis(request.work())))
-                .max()
-                .orElse(nowMillis);
+        long lastMillis = queue.all().mapToLong(this::latestMillis).max().orElse(nowMillis);
         double servable = freedSlots.perMilli(inProgress, nowMillis).orElse(0) * Math.max(0, lastMillis - nowMillis);
         return (int) Math.max(MIN_CAPACITY, Math.min(MAX_CAPACITY, servable));
     }
@@ -198,16 +216,12 @@
 
     private Refusal<T> refuse(AdmissionRequest<T> request, Estimate estimate, boolean displaced) {
         boolean _removed = queue.remove(request);
-        return new Refusal<>(request, estimate, displaced);
+        return new Refusal<>(request, estimate, displaced, stop.outlasts(request.deadlineAtMillis()));
     }
 
     /** Removes and returns the requests that can wait no longer; called when there is no capacity for them. */
     public List<Refusal<T>> refuseOverdue(long nowMillis) {
-        return queue
-                .all()
-                .filter(request -> nowMillis >= request.refusedAtMillis(freedSlots.expectedMillis(request.work())))
-                .toList()
-                .stream()
+        return queue.all().filter(request -> nowMillis >= latestMillis(request)).toList().stream()
                 .map(request -> refuse(request, estimate(request, nowMillis), false))
                 .toList();
     }
--- a/domain/src/main/java/io/heatherloft/domain/admission/StopDeadlines.java
+++ b/domain/src/main/java/io/heatherloft/domain/admission/StopDeadlines.java
@@ -20,6 +20,22 @@
 
     /** Returns the time from which a request with the given deadline is no longer sent. */
     public long latestSendMillis(long deadlineAtMillis) {
-        return deadlineAtMillis <= endMillis ? deadlineAtMillis : lastSendMillis;
+        return outlasts(deadlineAtMillis) ? lastSendMillis : deadlineAtMillis;
+    }
+
+    /**
+     * Returns the time from which a request no longer waits to be sent: one that could outlast the host must also be
+     * expected to end before it.
+     *
+     * @param expectedMillis expected time from the send to the end of the response, in milliseconds; 0 if it is unknown
+     */
+    long latestSendMillis(long deadlineAtMillis, double expectedMillis) {
+        long latest = latestSendMillis(deadlineAtMillis);
+        return outlasts(deadlineAtMillis) ? Math.min(latest, endMillis - (long) expectedMillis) : latest;
+    }
+
+    /** Returns true if the deadline of a request lies after the end. */
+    public boolean outlasts(long deadlineAtMillis) {
+        return deadlineAtMillis > endMillis;
     }
 }
--- a/domain/src/test/java/io/heatherloft/domain/admission/AdmissionHarness.java
+++ b/domain/src/test/java/io/heatherloft/domain/admission/AdmissionHarness.java
@@ -26,6 +26,7 @@
     private static final long MAX_REPORT_AGE_MILLIS = 1_500;
     private static final int MAX_ATTEMPTS = 3;
     private static final long NOT_ACCEPTED_RETRY_MILLIS = 300;
+    private static final long STOPPING_RETRY_MILLIS = 100;
 
     private final PriorityQueue<Event> events =
             new PriorityQueue<>(Comparator.comparingLong(Event::atMillis).thenComparingLong(Event::number));
@@ -37,6 +38,10 @@
     final List<Call> calls = new ArrayList<>();
     /** The longest time by which a refusal came after the moment at which a caller had a quarter of its time left. */
     long longestOverdueMillis;
+    /** Calls that still waited in a host, or were in progress without an excuse, when the host ended. */
+    final List<Call> lost = new ArrayList<>();
+    /** Calls that a host refused because it stopped. */
+    final List<Call> refusedByStop = new ArrayList<>();
     /** Delays in milliseconds that the callers of refused requests were told. */
     final List<Long> delays = new ArrayList<>();
 
@@ -98,8 +103,19 @@
         at(now + millis, task);
     }
 
+    /** Stops a host; callers no longer choose it from {@code noticeMillis} on, as behind a load balancer. */
+    void stop(int hostIndex, long atMillis, StopDeadlines deadlines, long noticeMillis) {
+        Host host = hosts.get(hostIndex);
+        at(atMillis, () -> host.beginStop(deadlines));
+        at(deadlines.lastSendMillis(), host::check);
+        at(atMillis + noticeMillis, () -> host.outOfRotation = true);
+        at(deadlines.endMillis(), host::end);
+    }
+
     private Host randomHost() {
-        return hosts.get(random.nextInt(hosts.size()));
+        List<Host> inRotation =
+                hosts.stream().filter(host -> !host.outOfRotation).toList();
+        return inRotation.get(random.nextInt(inRotation.size()));
     }
 
     /** Sums of all hosts' reports by server, and the times of the reports by host, at one moment. */
@@ -222,6 +238,8 @@
         long noProbeUntilMillis;
         boolean checkPending;
         boolean timerRunning;
+        boolean outOfRotation;
+        long lastExcusedSendMillis = Long.MAX_VALUE;
 
         Host(int index) {
             hostIndex = index;
@@ -240,6 +258,24 @@
             after(reportMillis, () -> report(reportMillis));
         }
 
+        void beginStop(StopDeadlines deadlines) {
+            lastExcusedSendMillis = deadlines.lastSendMillis();
+            admission.beginStop(deadlines);
+            check();
+        }
+
+        void end() {
+            admission.waitingRequests().forEach(request -> {
+                boolean _removed = admission.remove(request);
+                lost.add(request.item());
+            });
+            sentMillis.forEach((call, sentAtMillis) -> {
+                if (sentAtMillis > lastExcusedSendMillis && call.deadlineAtMillis() > now) {
+                    lost.add(call);
+                }
+            });
+        }
+
         void ask(Call call) {
             if (now >= call.deadlineAtMillis()) {
                 return;
@@ -384,7 +420,12 @@
             long left = call.deadlineAtMillis() - now;
             long quarter = (call.deadlineAtMillis() - call.askedAtMillis) / 4;
             longestOverdueMillis = Math.max(longestOverdueMillis, quarter - left);
-            long delay = admission.returnDelayMillis(refusal, Optional.of(call.id), now);
+            long delay = refusal.stopping()
+                    ? STOPPING_RETRY_MILLIS
+                    : admission.returnDelayMillis(refusal, Optional.of(call.id), now);
+            if (refusal.stopping()) {
+                refusedByStop.add(call);
+            }
             delays.add(delay);
             if (call.impatient || 3 * delay <= left) {
                 call.askedAtMillis = -1;
--- a/domain/src/test/java/io/heatherloft/domain/admission/AdmissionTest.java
+++ b/domain/src/test/java/io/heatherloft/domain/admission/AdmissionTest.java
@@ -165,6 +165,71 @@
         }
     }
 
+    @Nested
+    final class AHostThatStopsUnderOverload {
+        private static final long STOP_MILLIS = 36_500;
+        private static final long END_MILLIS = STOP_MILLIS + 7_300;
+        private static final long HOT_FROM_MILLIS = 32_000;
+        private static final long HOT_TO_MILLIS = 38_500;
+        // A load of nine tenths, a third of which is the largest workspace's; its share grows to 7.5 times.
+        private static final double PER_MILLI = 0.0054;
+        private static final double HOT_FACTOR = 1 + 6.5 / 3;
+
+        /** Runs 2 hosts and 4 servers with 12 slots; one workspace becomes hot 4.5 s before one host stops. */
+        private AdmissionHarness run(long serviceMillis, long deadlineMillis, int seed) {
+            AdmissionHarness harness = new AdmissionHarness(2, 4, 12, 0, 200, seed);
+            Random random = new Random(seed);
+            double time = 0;
+            while (time < STOP_MILLIS + 12_000) {
+                boolean hot = time >= HOT_FROM_MILLIS && time < HOT_TO_MILLIS;
+                double factor = hot ? HOT_FACTOR : 1;
+                boolean largest = random.nextDouble() < 1 - (2 / 3.0) / factor;
+                String workspace = largest ? "largest" : "w" + random.nextInt(7);
+                harness.call((long) time, new Load(1, workspace, 2_000, deadlineMillis, serviceMillis, 0), false);
+                time -= Math.log(1 - random.nextDouble()) / (PER_MILLI * factor * 7_800 / serviceMillis);
+            }
+            harness.stop(0, STOP_MILLIS, new StopDeadlines(STOP_MILLIS + 2_500, END_MILLIS), 2_000);
+            return harness;
+        }
+
+        // Guards against requests that waited in a stopped host until its end and got no answer: a workspace with 7.5
+        // times its usual load for 6.5 s, streams of 7.8 s.
+        @ParameterizedTest
+        @ValueSource(ints = {1, 2, 3})
+        void refuses_at_once_what_waits_and_would_outlast_it(int seed) {
+            AdmissionHarness harness = run(7_800, 20_000, seed);
+            harness.runUntil(STOP_MILLIS);
+            List<AdmissionHarness.Call> refused = List.copyOf(harness.refusedByStop);
+            harness.runUntil(STOP_MILLIS + 60_000);
+            assertThat(refused).isNotEmpty();
+            assertThat(harness.lost).isEmpty();
+        }
+
+        // Guards against requests that are sent so late that they cannot end before the host does.
+        @ParameterizedTest
+        @ValueSource(ints = {1, 2, 3})
+        void sends_late_only_what_its_deadline_ends_before_it(int seed) {
+            AdmissionHarness harness = run(1_200, 20_000, seed);
+            harness.runUntil(STOP_MILLIS + 60_000);
+            assertThat(harness.lost).isEmpty();
+            assertThat(harness.servedShareSince(STOP_MILLIS - 5_000, _load -> true))
+                    .isAtLeast(0.9);
+        }
+
+        // Guards against refusals of short requests by a host that can still serve them.
+        @Test
+        void keeps_what_its_deadline_ends_before_it() {
+            AdmissionHarness harness = run(600, 4_500, 4);
+            harness.runUntil(STOP_MILLIS + 2_500);
+            assertThat(harness.refusedByStop.stream()
+                            .filter(call -> call.deadlineAtMillis() <= END_MILLIS)
+                            .toList())
+                    .isEmpty();
+            harness.runUntil(STOP_MILLIS + 60_000);
+            assertThat(harness.lost).isEmpty();
+        }
+    }
+
     @Nested
     final class ALostZone {
         // A quarter of the servers goes at a load of 0.9: what is most urgent fits the rest and must not notice.
@@ -296,7 +361,7 @@
             ServiceAdmission<String> admission = new ServiceAdmission<>();
             AdmissionRequest<String> request = new AdmissionRequest<>("a", 0, "w", false, 0, 0, 1_000, 9_000, 100, 0);
             ServiceAdmission.Refusal<String> refusal =
-                    new ServiceAdmission.Refusal<>(request, admission.estimate(request, 0), false);
+                    new ServiceAdmission.Refusal<>(request, admission.estimate(request, 0), false, false);
             long delay = admission.returnDelayMillis(refusal, Optional.of("id"), 0);
             assertThat(admission.isReturn(Optional.of("id"), 20)).isFalse();
             admission.returnDelayMillis(refusal, Optional.of("id"), 0);
--- a/entry/src/main/java/io/heatherloft/entry/EntryHost.java
+++ b/entry/src/main/java/io/heatherloft/entry/EntryHost.java
@@ -1,6 +1,7 @@
 package io.heatherloft.entry;
 
 import com.codahale.metrics.MetricRegistry;
+import io.heatherloft.domain.admission.StopDeadlines;
 import io.heatherloft.domain.route.CallerLimits;
 import io.heatherloft.peer.NettyPeerNetwork;
 import io.heatherloft.peer.NettyPeerServer;
@@ -63,6 +64,8 @@
     // Requests still in progress this long before the end of the grace period are cut off, so that callers of streams
     // can resume them at another host.
     private static final long FORCED_CLOSE_MARGIN_MILLIS = 700L;
+    // Requests that could still be in progress then are sent to servers only for this time.
+    private static final long LAST_SEND_MILLIS = 2_500L;
     private static final long STOP_POLL_MILLIS = 50L;
     private static final long NANOS_PER_MILLI = 1_000_000L;
     // Share of the fleet's retry budget that hosts use. The rest covers requests in progress at the end of a window.
@@ -347,6 +350,7 @@
             gossip.announceStop();
             long startMillis = loop.nowMillis();
             log.lifecycle("stop", line -> line.with("in_progress", engine.inProgress()));
+            engine.beginStop(stopDeadlines(startMillis));
             loop.schedule(BALANCER_NOTICE_MILLIS / 2, callerServer::drain);
             loop.schedule(BALANCER_NOTICE_MILLIS, () -> {
                 callerServer.stopAccepting();
@@ -357,6 +361,11 @@
         return stopped;
     }
 
+    private StopDeadlines stopDeadlines(long startMillis) {
+        long endMillis = startMillis + settings.gracePeriodMillis() - FORCED_CLOSE_MARGIN_MILLIS;
+        return new StopDeadlines(Math.min(startMillis + LAST_SEND_MILLIS, endMillis), endMillis);
+    }
+
     private void awaitRequests(long startMillis, CompletableFuture<Void> stopped) {
         boolean deadlineReached =
                 loop.nowMillis() - startMillis >= settings.gracePeriodMillis() - FORCED_CLOSE_MARGIN_MILLIS;
--- a/router/src/main/java/io/heatherloft/router/request/AdmissionControl.java
+++ b/router/src/main/java/io/heatherloft/router/request/AdmissionControl.java
@@ -7,6 +7,7 @@
 import io.heatherloft.domain.admission.ServerCapacity;
 import io.heatherloft.domain.admission.ServiceAdmission;
 import io.heatherloft.domain.admission.ServiceAdmission.Refusal;
+import io.heatherloft.domain.admission.StopDeadlines;
 import io.heatherloft.domain.admission.TokenRoom;
 import io.heatherloft.domain.route.ServiceDefinition;
 import io.heatherloft.ports.loop.Loop;
@@ -53,6 +54,7 @@
     private final MetricRegistry metrics;
     private final Map<String, Service> services = new HashMap<>();
     private final Set<String> workspaceNames = new HashSet<>();
+    private StopDeadlines stop = StopDeadlines.NONE;
     private boolean checkScheduled;
     private Loop.Cancellation timer = () -> {};
     private boolean timerRunning;
@@ -104,7 +106,7 @@
     /** Asks for admission; the request is sent, or refused, now or later. */
     void request(RequestExecution execution) {
         long now = loop.nowMillis();
-        Service service = services.computeIfAbsent(execution.service(), _name -> new Service(reports.selfHash()));
+        Service service = services.computeIfAbsent(execution.service(), _name -> newService());
         RequestMetadata metadata = execution.metadata();
         boolean returned = execution.sendCount() > 0 || service.admission.isReturn(metadata.attemptId(), now);
         long arrivedAtMillis = execution.request().arrivedAtMillis();
@@ -125,6 +127,20 @@
         check(execution.service(), service);
     }
 
+    private Service newService() {
+        Service service = new Service(reports.selfHash());
+        service.admission.beginStop(stop);
+        return service;
+    }
+
+    /** Refuses the requests that this host cannot serve before it ends, now and when it sends no more of them. */
+    void beginStop(StopDeadlines deadlines) {
+        stop = deadlines;
+        services.values().forEach(service -> service.admission.beginStop(deadlines));
+        checkAll();
+        loop.schedule(Math.max(0, deadlines.lastSendMillis() - loop.nowMillis()), this::checkAll);
+    }
+
     /** Removes a request that no longer wants to be sent. */
     void withdraw(RequestExecution execution) {
         Service service = services.get(execution.service());
@@ -313,8 +329,11 @@
         RequestExecution execution = refusal.request().item();
         service.waiting.remove(execution);
         releaseReservation(service, refusal.request());
-        long delayMillis = service.admission.returnDelayMillis(
-                refusal, execution.metadata().attemptId(), loop.nowMillis());
+        // The caller need not wait for this host's queue.
+        long delayMillis = refusal.stopping()
+                ? Math.round(RefusalReason.HOST_STOPPING.retryAfterSeconds() * MILLIS_PER_SECOND)
+                : service.admission.returnDelayMillis(
+                        refusal, execution.metadata().attemptId(), loop.nowMillis());
         String outcome = refusal.displaced() ? "displaced" : "refused";
         metrics.counter("admission_total." + outcome).inc();
         metrics.counter("admission_refused_total." + execution.route().name()).inc();
@@ -324,7 +343,11 @@
             addEstimate(line, refusal.estimate());
             line.with("return_ms", delayMillis);
         });
-        execution.refuseForCapacity(delayMillis / MILLIS_PER_SECOND);
+        if (refusal.stopping()) {
+            execution.refuseForStop();
+        } else {
+            execution.refuseForCapacity(delayMillis / MILLIS_PER_SECOND);
+        }
     }
 
     // Bounds the number of metrics.
--- a/router/src/main/java/io/heatherloft/router/request/RefusalReason.java
+++ b/router/src/main/java/io/heatherloft/router/request/RefusalReason.java
@@ -27,6 +27,8 @@
     SERVERS_COLD(503, 1),
     /** No backend server has capacity for the request, and it cannot wait for one in time; the delay is computed. */
     NO_CAPACITY(503, 1),
+    /** This host stops and would end before the response; another host can take the request at once. */
+    HOST_STOPPING(503, 0.1),
     /** The backend servers tried refused the request without executing it, or could not be reached. */
     NOT_ACCEPTED(503, 0.3),
     /** The request is blocked because backend servers crashed repeatedly while executing it. */
--- a/router/src/main/java/io/heatherloft/router/request/RequestEngine.java
+++ b/router/src/main/java/io/heatherloft/router/request/RequestEngine.java
@@ -1,6 +1,7 @@
 package io.heatherloft.router.request;
 
 import com.codahale.metrics.MetricRegistry;
+import io.heatherloft.domain.admission.StopDeadlines;
 import io.heatherloft.domain.route.KeyHolder;
 import io.heatherloft.domain.route.Route;
 import io.heatherloft.domain.route.RoutingConfiguration;
@@ -46,6 +47,7 @@
     private final ColdServerGuard coldServers;
     private final Optional<AdmissionControl> admissionControl;
     private final ResponseBuffers responseBuffers = new ResponseBuffers();
+    private StopDeadlines stopDeadlines = StopDeadlines.NONE;
     private int inProgress;
 
     /** Creates an engine. */
@@ -121,6 +123,17 @@
         return inProgress;
     }
 
+    /** Called when the host has begun to stop. */
+    public void beginStop(StopDeadlines deadlines) {
+        stopDeadlines = deadlines;
+        admissionControl.ifPresent(admission -> admission.beginStop(deadlines));
+    }
+
+    /** Returns the deadlines of the host's stop; {@link StopDeadlines#NONE} before it. */
+    public StopDeadlines stopDeadlines() {
+        return stopDeadlines;
+    }
+
     private void refuse(CallerExchange exchange, RequestMetadata metadata, RefusalReason reason) {
         metrics.counter("requests_refused_total." + reason.name()).inc();
         log.request("refused", metadata.attemptId().orElse("none"), line -> line.with("reason", reason.name())
--- a/router/src/main/java/io/heatherloft/router/request/RequestExecution.java
+++ b/router/src/main/java/io/heatherloft/router/request/RequestExecution.java
@@ -155,6 +155,10 @@
             fail(blocked.get());
             return;
         }
+        if (!mayStillBeSent()) {
+            refuseForStop();
+            return;
+        }
         if (engine.admissionControl().isPresent()) {
             engine.admissionControl().get().request(this);
         } else {
@@ -214,6 +218,21 @@
         fail(RefusalReason.NO_CAPACITY, retryAfterSeconds);
     }
 
+    /** Ends the request because the host stops and would end before the response. */
+    void refuseForStop() {
+        engine.log().request("stop", metadata.attemptId().orElse(""), line -> line.with("route", route.name())
+                .with("service", service)
+                .with("waited_ms", engine.loop().nowMillis() - request.arrivedAtMillis())
+                .with("time_left_ms", timeLeftMillis())
+                .with("sends", sendCount)
+                .with("outcome", "refused"));
+        fail(RefusalReason.HOST_STOPPING);
+    }
+
+    private boolean mayStillBeSent() {
+        return engine.stopDeadlines().maySend(deadlineAtMillis, engine.loop().nowMillis());
+    }
+
     /** Called when a server has begun to respond to an attempt, or rejects it. */
     void onResponseBegun() {
         engine.admissionControl().ifPresent(admission -> admission.onResponseBegun(this));
@@ -277,8 +296,10 @@
             triedServers.add(ending.server().entry());
             if (mayRetry(reason)) {
                 dispatch();
-            } else {
+            } else if (mayStillBeSent()) {
                 fail(RefusalReason.NOT_ACCEPTED);
+            } else {
+                refuseForStop();
             }
         }
     }
@@ -395,6 +416,7 @@
     private boolean mayRetry(String reason, Predicate<RetryBudget> takeRetry) {
         boolean granted = sendCount < route.maxAttempts()
                 && timeLeftMillis() >= MIN_TIME_LEFT_MILLIS
+                && mayStillBeSent()
                 && takeRetry.test(engine.retryBudget(service));
         engine.log().request("retry", metadata.attemptId().orElse(""), line -> line.with("reason", reason)
                 .with("backend_id", attempt.server().entry().id())
