Responses cut by their server, at each byte and during an upload: tests

Reports of operators: a response whose server stopped in its head, or reset its connection during an upload, reached a client as a whole one. On the direct way to a backend server this is not so here; it had no test.

The pool's tests cut a response with a length, one in chunks with a trailer, one without a length and one after an informational response at each byte, with a close and with a reset, and end early responses to an upload of 32 MB with a reset, with a close that leaves bytes unread, and with an end in order that a reset follows. The stand-in can send any bytes.

--- a/router/src/test/java/io/heatherloft/router/backend/BackendConnectionPoolTest.java
+++ b/router/src/test/java/io/heatherloft/router/backend/BackendConnectionPoolTest.java
@@ -1,6 +1,7 @@
 package io.heatherloft.router.backend;
 
 import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
 
 import io.heatherloft.ports.loop.Loop;
 import io.heatherloft.router.NettyLoop;
@@ -13,6 +14,7 @@
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import java.io.IOException;
 import java.io.InputStream;
@@ -21,6 +23,7 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
@@ -33,6 +36,7 @@
 /** The test servers write raw bytes, since HTTP libraries do not produce malformed responses. */
 final class BackendConnectionPoolTest {
     private static final String HEAD = "HTTP/1.1 200 OK\r\nX-Attempt-Id: mine\r\nKeep-Alive: timeout=5\r\n";
+    private static final long RESPONSE_LIMIT_SECONDS = 20;
 
     private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final Loop loop = new NettyLoop(group.next());
@@ -86,17 +90,24 @@
     }
 
     private String send(BackendEndpoint endpoint) {
-        RecordingListener recorder = new RecordingListener();
+        return send(
+                endpoint,
+                new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/", Unpooled.EMPTY_BUFFER),
+                new RecordingListener());
+    }
+
+    private String send(BackendEndpoint endpoint, FullHttpRequest request, RecordingListener recorder) {
         loop.execute(() -> {
-            FullHttpRequest request =
-                    new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/", Unpooled.EMPTY_BUFFER);
             BackendExchange _exchange = pool.send(endpoint, request, recorder);
         });
-        return recorder.outcome.join();
+        return recorder.outcome
+                .orTimeout(RESPONSE_LIMIT_SECONDS, java.util.concurrent.TimeUnit.SECONDS)
+                .join();
     }
 
     private static final class RecordingListener implements ResponseListener {
         private final CompletableFuture<String> outcome = new CompletableFuture<>();
+        private final CountDownLatch contentReceived = new CountDownLatch(1);
         private final StringBuilder body = new StringBuilder();
 
         @Override
@@ -107,6 +118,7 @@
         @Override
         public void onContent(ByteBuf chunk) {
             body.append(chunk.toString(StandardCharsets.ISO_8859_1));
+            contentReceived.countDown();
         }
 
         @Override
@@ -217,6 +229,169 @@
         }
     }
 
+    /** Responses whose server breaks off after a number of bytes, at each place that is not the end. */
+    @Nested
+    final class ACutResponse {
+        private static final String CHUNKS = "3\r\nabc\r\n4;x=y\r\ndefg\r\n0\r\nX-Trailer: 1\r\n\r\n";
+
+        // Connections are numbered from 1, so the first one gets no byte of the response.
+        private BackendEndpoint serverCutting(String response, boolean reset) throws IOException {
+            return server((socket, number) -> {
+                readRequest(socket);
+                write(socket, response.substring(0, number - 1));
+                socket.setSoLinger(reset, 0);
+                socket.close();
+            });
+        }
+
+        private void checkBroken(String response, int cuts, boolean reset) throws IOException {
+            BackendEndpoint endpoint = serverCutting(response, reset);
+            for (int cut = 0; cut < cuts; cut++) {
+                assertWithMessage("%s bytes of %s", cut, response)
+                        .that(send(endpoint))
+                        .isEqualTo("BROKEN");
+            }
+            assertThat(accepted.get()).isEqualTo(cuts);
+        }
+
+        @ParameterizedTest
+        @ValueSource(booleans = {false, true})
+        void with_a_length_is_broken(boolean reset) throws IOException {
+            String response = HEAD + "Content-Length: 4\r\n\r\nbody";
+            checkBroken(response, response.length(), reset);
+        }
+
+        @ParameterizedTest
+        @ValueSource(booleans = {false, true})
+        void in_chunks_is_broken(boolean reset) throws IOException {
+            String response = HEAD + "Transfer-Encoding: chunked\r\n\r\n" + CHUNKS;
+            checkBroken(response, response.length(), reset);
+        }
+
+        // Its end cannot be told from a cut in its body, except by a reset.
+        @ParameterizedTest
+        @ValueSource(booleans = {false, true})
+        void without_a_length_is_broken(boolean reset) throws IOException {
+            String head = HEAD + "\r\n";
+            checkBroken(head + "body", reset ? (head + "body").length() + 1 : head.length(), reset);
+        }
+
+        @ParameterizedTest
+        @ValueSource(booleans = {false, true})
+        void after_an_informational_one_is_broken(boolean reset) throws IOException {
+            String response = "HTTP/1.1 103 Early Hints\r\nX-Note: 1\r\n\r\n" + HEAD + "Content-Length: 0\r\n\r\n";
+            checkBroken(response, response.length(), reset);
+        }
+    }
+
+    /** Responses to a request whose body the server has not read yet. */
+    @Nested
+    final class AnEarlyResponse {
+        private static final int UPLOAD_BYTES = 32 * 1024 * 1024;
+        private static final long POLL_MILLIS = 20L;
+
+        private final RecordingListener recorder = new RecordingListener();
+
+        // Waits until the caller has the first part and the rest of the body waits in its buffers.
+        private void respondEarly(Socket socket, String part) throws IOException {
+            readRequest(socket);
+            write(socket, part);
+            try {
+                recorder.contentReceived.await();
+                int unread = -1;
+                while (socket.getInputStream().available() > unread) {
+                    unread = socket.getInputStream().available();
+                    Thread.sleep(POLL_MILLIS);
+                }
+            } catch (InterruptedException exception) {
+                throw new IOException(exception);
+            }
+        }
+
+        private String upload(BackendEndpoint endpoint) {
+            FullHttpRequest request = new DefaultFullHttpRequest(
+                    HttpVersion.HTTP_1_1, HttpMethod.POST, "/", Unpooled.wrappedBuffer(new byte[UPLOAD_BYTES]));
+            HttpUtil.setContentLength(request, UPLOAD_BYTES);
+            return send(endpoint, request, recorder);
+        }
+
+        @Test
+        void without_a_length_is_broken_when_its_connection_is_reset_during_the_upload() throws IOException {
+            assertThat(upload(server((socket, _number) -> {
+                        respondEarly(socket, HEAD + "\r\nfirst half");
+                        socket.setSoLinger(true, 0);
+                        socket.close();
+                    })))
+                    .isEqualTo("BROKEN");
+        }
+
+        // A server that closes a connection with unread bytes resets it.
+        @Test
+        void without_a_length_is_broken_when_its_connection_is_closed_during_the_upload() throws IOException {
+            assertThat(upload(server((socket, _number) -> {
+                        respondEarly(socket, HEAD + "\r\nfirst half");
+                        socket.close();
+                    })))
+                    .isEqualTo("BROKEN");
+        }
+
+        @Test
+        void without_a_length_is_broken_when_it_ends_in_order_before_a_reset_during_the_upload() throws IOException {
+            assertThat(upload(server((socket, _number) -> {
+                        respondEarly(socket, HEAD + "\r\nfirst half");
+                        socket.shutdownOutput();
+                        socket.setSoLinger(true, 0);
+                        socket.close();
+                    })))
+                    .isEqualTo("BROKEN");
+        }
+
+        @Test
+        void without_a_length_is_complete_when_it_ends_after_the_upload() throws IOException {
+            assertThat(upload(server((socket, _number) -> {
+                        respondEarly(socket, HEAD + "\r\nfirst half");
+                        socket.getInputStream().skipNBytes(UPLOAD_BYTES);
+                        write(socket, " second half");
+                        socket.close();
+                    })))
+                    .isEqualTo("complete: first half second half");
+        }
+
+        @Test
+        void with_a_length_lets_no_other_request_follow_before_the_upload_has_ended() throws IOException {
+            CompletableFuture<Long> uploadedSum = new CompletableFuture<>();
+            CountDownLatch mayReadOn = new CountDownLatch(1);
+            BackendEndpoint endpoint = server((socket, _number) -> {
+                respondEarly(socket, HEAD + "Content-Length: 5\r\n\r\nearly");
+                try {
+                    mayReadOn.await();
+                } catch (InterruptedException exception) {
+                    throw new IOException(exception);
+                }
+                byte[] uploaded = socket.getInputStream().readNBytes(UPLOAD_BYTES);
+                long sum = uploaded.length;
+                for (byte octet : uploaded) {
+                    sum += octet;
+                }
+                uploadedSum.complete(sum);
+            });
+            assertThat(upload(endpoint)).isEqualTo("complete: early");
+            RecordingListener other = new RecordingListener();
+            loop.execute(() -> {
+                BackendExchange _exchange = pool.send(
+                        endpoint,
+                        new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/", Unpooled.EMPTY_BUFFER),
+                        other);
+                mayReadOn.countDown();
+            });
+            assertThat(uploadedSum
+                            .orTimeout(RESPONSE_LIMIT_SECONDS, java.util.concurrent.TimeUnit.SECONDS)
+                            .join())
+                    .isEqualTo(UPLOAD_BYTES);
+            assertThat(pool.opened()).isEqualTo(2);
+        }
+    }
+
     /** Bytes that a server in trouble sends without end, until the connection is closed. */
     @Nested
     final class AnEndlessResponse {
--- a/standins/src/main/java/io/heatherloft/standins/platform/ClosingServerStandIn.java
+++ b/standins/src/main/java/io/heatherloft/standins/platform/ClosingServerStandIn.java
@@ -6,24 +6,35 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.UnaryOperator;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
 /**
- * Stand-in for a backend server whose streamed responses have neither a length nor chunks and end with their connection.
+ * Stand-in for a backend server whose responses end with their connection, wherever they are then.
  *
  * <p>Safe for use by several threads.
  */
 public final class ClosingServerStandIn implements AutoCloseable {
     private static final Pattern ATTEMPT_ID = Pattern.compile("(?i)x-attempt-id: *([^\r\n]+)");
+    private static final Pattern CONTENT_LENGTH = Pattern.compile("(?i)content-length: *([0-9]+)");
 
     private final ServerSocket listening;
-    private final String body;
+    private final UnaryOperator<String> responses;
     private final AtomicInteger requests = new AtomicInteger();
 
-    /** Starts a server that sends the same body in each response. */
+    /** Starts a server that sends the same stream in each response, with neither a length nor chunks. */
     public ClosingServerStandIn(String body) {
-        this.body = body;
+        this(id -> head("200 OK", id, "Content-Type: text/event-stream\r\n") + body);
+    }
+
+    /**
+     * Starts a server.
+     *
+     * @param responses returns all that is sent in reply to the request with the given ID, which need not be a whole response
+     */
+    public ClosingServerStandIn(UnaryOperator<String> responses) {
+        this.responses = responses;
         try {
             this.listening = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
         } catch (IOException exception) {
@@ -34,6 +45,12 @@
         thread.start();
     }
 
+    /** Returns a whole head of a response, with further header lines. */
+    public static String head(String status, String id, String fields) {
+        return "HTTP/1.1 " + status + "\r\nX-Attempt-Id: " + id
+                + "\r\nX-Runner-Seal: closing.seal\r\nX-Hint-Confidence: 90\r\n" + fields + "\r\n";
+    }
+
     /** Returns the port that the server listens on. */
     public int port() {
         return listening.getLocalPort();
@@ -63,12 +80,12 @@
             }
             request.append((char) next);
         }
-        byte[] _requestBody = socket.getInputStream().readNBytes("hello".length());
+        Matcher length = CONTENT_LENGTH.matcher(request);
+        socket.getInputStream().skipNBytes(length.find() ? Long.parseLong(length.group(1)) : 0);
         requests.incrementAndGet();
-        Matcher matcher = ATTEMPT_ID.matcher(request);
-        String head = "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + (matcher.find() ? matcher.group(1) : "")
-                + "\r\nX-Runner-Seal: closing.seal\r\nX-Hint-Confidence: 90\r\nContent-Type: text/event-stream\r\n\r\n";
-        socket.getOutputStream().write((head + body).getBytes(StandardCharsets.ISO_8859_1));
+        Matcher id = ATTEMPT_ID.matcher(request);
+        String response = responses.apply(id.find() ? id.group(1) : "");
+        socket.getOutputStream().write(response.getBytes(StandardCharsets.ISO_8859_1));
     }
 
     @Override
