Relay: a response is not reported as ended in order after a failed write

Cause: the reset surfaced in the other host as a failed write. Netty then closes the channel without an exception, and RelayServer took that for the end of the server's response and sent the empty frame that says so. The host that had asked found out only where its own write was pending too.

Change: both directions of a relay share whether a read or a write has failed; after either, no end in order is reported. That holds as well where the server ends its connection in order with a part of the request unwritten, as on the direct way.

RelayTest.AnEarlyResponse.whose_connection_is_reset_while_the_other_host_writes_is_not_complete failed before: "upload of 3145728 bytes, expected: BROKEN ..., but was: first half".

--- a/router/src/main/java/io/heatherloft/router/backend/RelayServer.java
+++ b/router/src/main/java/io/heatherloft/router/backend/RelayServer.java
@@ -29,8 +29,8 @@
  *
  * <p>The other host sends a line with the ID and the address of the server. After the reply {@link RelayReply#CONNECTED},
  * its bytes are passed on as they are; the server's bytes are sent in frames with their length. An empty frame tells that
- * the server closed its connection in order; without one, the response before it may be incomplete. Connects to known
- * servers only, and never through a third host. Confined to the loop's thread.
+ * the server closed its connection in order, after all bytes for it were written; without one, the response before it may
+ * be incomplete. Connects to known servers only, and never through a third host. Confined to the loop's thread.
  */
 public final class RelayServer {
     /** Length of the field with the length of a frame, in bytes. */
@@ -135,8 +135,9 @@
             ChannelFuture _replied = near.writeAndFlush(lineOf(RelayReply.CONNECTED));
             near.pipeline().remove(LineBasedFrameDecoder.class);
             near.pipeline().remove(this);
-            near.pipeline().addLast(new LengthFieldPrepender(LENGTH_BYTES), new PassOn(far, false));
-            far.pipeline().addLast(new PassOn(near, true));
+            Relay relay = new Relay();
+            near.pipeline().addLast(new LengthFieldPrepender(LENGTH_BYTES), new PassOn(relay, far, false));
+            far.pipeline().addLast(new PassOn(relay, near, true));
             near.config().setAutoRead(true);
             far.config().setAutoRead(true);
         }
@@ -155,20 +156,28 @@
         }
     }
 
+    /** State that both directions of a relay share. */
+    private static final class Relay {
+        // A reset can surface as a failed write only; the channel is then closed as at the end of the response.
+        private boolean failed;
+    }
+
     /** Passes the bytes of one channel on to another, no faster than that one takes them. */
     private static final class PassOn extends ChannelInboundHandlerAdapter {
+        private final Relay relay;
         private final Channel target;
         private final boolean fromServer;
-        private boolean failed;
 
-        PassOn(Channel target, boolean fromServer) {
+        PassOn(Relay relay, Channel target, boolean fromServer) {
+            this.relay = relay;
             this.target = target;
             this.fromServer = fromServer;
         }
 
         @Override
         public void channelRead(ChannelHandlerContext context, Object message) {
-            ChannelFuture _written = target.writeAndFlush(message);
+            ChannelFuture writing = target.writeAndFlush(message);
+            writing.addListener(_done -> relay.failed |= !writing.isSuccess());
             if (!target.isWritable()) {
                 context.channel().config().setAutoRead(false);
             }
@@ -181,7 +190,7 @@
 
         @Override
         public void channelInactive(ChannelHandlerContext _context) {
-            if (fromServer && !failed) {
+            if (fromServer && !relay.failed) {
                 ChannelFuture _ended =
                         target.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
             } else {
@@ -191,7 +200,7 @@
 
         @Override
         public void exceptionCaught(ChannelHandlerContext context, Throwable _cause) {
-            failed = true;
+            relay.failed = true;
             ChannelFuture _closed = context.close();
         }
     }
--- a/router/src/test/java/io/heatherloft/router/backend/RelayTest.java
+++ b/router/src/test/java/io/heatherloft/router/backend/RelayTest.java
@@ -1,17 +1,21 @@
 package io.heatherloft.router.backend;
 
 import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
 
 import io.heatherloft.ports.http.SocketAddresses;
 import io.heatherloft.ports.loop.Loop;
 import io.heatherloft.router.NettyLoop;
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.CharsetUtil;
 import java.io.DataOutputStream;
@@ -23,8 +27,11 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.OptionalInt;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
@@ -73,8 +80,16 @@
     }
 
     private static String listen(Script script) {
+        return listen(script, OptionalInt.empty());
+    }
+
+    private static String listen(Script script, OptionalInt receiveBufferBytes) {
         try {
-            ServerSocket listening = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+            ServerSocket listening = new ServerSocket();
+            if (receiveBufferBytes.isPresent()) {
+                listening.setReceiveBufferSize(receiveBufferBytes.getAsInt());
+            }
+            listening.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 50);
             Thread thread = new Thread(() -> {
                 while (true) {
                     try (Socket socket = listening.accept()) {
@@ -118,36 +133,38 @@
         });
     }
 
-    /** Sends a request and returns the body of the response, or the failure. */
     private CompletableFuture<String> send() {
+        return send(new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/"), () -> {});
+    }
+
+    /** Sends a request and returns the body of the response, or the failure. */
+    private CompletableFuture<String> send(FullHttpRequest request, Runnable onContent) {
         CompletableFuture<String> result = new CompletableFuture<>();
         StringBuilder body = new StringBuilder();
         loop.execute(() -> {
-            BackendExchange _exchange = pool.send(
-                    endpoint,
-                    new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/"),
-                    new ResponseListener() {
-                        @Override
-                        public boolean onHeaders(int _status, HttpHeaders _headers) {
-                            return true;
-                        }
-
-                        @Override
-                        public void onContent(ByteBuf part) {
-                            body.append(part.toString(CharsetUtil.US_ASCII));
-                        }
-
-                        @Override
-                        public void onComplete() {
-                            result.complete(body.toString());
-                        }
-
-                        @Override
-                        public void onFailure(ExchangeFailure failure) {
-                            result.complete(failure.kind() + " refused " + failure.refused() + " confirmed "
-                                    + failure.confirmed());
-                        }
-                    });
+            BackendExchange _exchange = pool.send(endpoint, request, new ResponseListener() {
+                @Override
+                public boolean onHeaders(int _status, HttpHeaders _headers) {
+                    return true;
+                }
+
+                @Override
+                public void onContent(ByteBuf part) {
+                    body.append(part.toString(CharsetUtil.US_ASCII));
+                    onContent.run();
+                }
+
+                @Override
+                public void onComplete() {
+                    result.complete(body.toString());
+                }
+
+                @Override
+                public void onFailure(ExchangeFailure failure) {
+                    result.complete(
+                            failure.kind() + " refused " + failure.refused() + " confirmed " + failure.confirmed());
+                }
+            });
         });
         return result.orTimeout(RESPONSE_LIMIT_SECONDS, TimeUnit.SECONDS);
     }
@@ -196,6 +213,108 @@
         }
     }
 
+    /** Responses without a length to a request whose body the server has not read yet. */
+    @Nested
+    final class AnEarlyResponse {
+        private static final int UPLOAD_BYTES = 32 * 1024 * 1024;
+        private static final int SMALL_BUFFER_BYTES = 4 * 1024;
+        private static final int SMALL_UPLOAD_STEP_BYTES = 512 * 1024;
+        private static final int MAX_SMALL_UPLOAD_BYTES = 6 * 1024 * 1024;
+        private static final long POLL_MILLIS = 20L;
+
+        private volatile CountDownLatch received = new CountDownLatch(1);
+
+        // Waits until the caller has the first part and the body waits in the buffers of the hosts.
+        private void respondEarly(Socket socket) throws IOException {
+            readUntil(socket, "\r\n\r\n");
+            socket.getOutputStream().write(UNFRAMED.getBytes(StandardCharsets.US_ASCII));
+            try {
+                received.await();
+                int unread = -1;
+                while (socket.getInputStream().available() > unread) {
+                    unread = socket.getInputStream().available();
+                    Thread.sleep(POLL_MILLIS);
+                }
+            } catch (InterruptedException exception) {
+                throw new IOException(exception);
+            }
+        }
+
+        private String upload() {
+            return upload(UPLOAD_BYTES);
+        }
+
+        private String upload(int bytes) {
+            received = new CountDownLatch(1);
+            FullHttpRequest request = new DefaultFullHttpRequest(
+                    HttpVersion.HTTP_1_1, HttpMethod.POST, "/", Unpooled.wrappedBuffer(new byte[bytes]));
+            HttpUtil.setContentLength(request, bytes);
+            return send(request, () -> received.countDown()).join();
+        }
+
+        // The other host reported a write that failed because of the reset as an end in order: a part was passed on as
+        // whole.
+        @Test
+        void whose_connection_is_reset_while_the_other_host_writes_is_not_complete() {
+            endpoint = new BackendEndpoint(
+                    "b",
+                    listen(
+                            socket -> {
+                                respondEarly(socket);
+                                socket.setSoLinger(true, 0);
+                            },
+                            OptionalInt.of(SMALL_BUFFER_BYTES)));
+            relays = List.of(relayHost());
+            for (int bytes = 0; bytes < MAX_SMALL_UPLOAD_BYTES; bytes += SMALL_UPLOAD_STEP_BYTES) {
+                String outcome = upload(bytes);
+                assertWithMessage("upload of %s bytes", bytes)
+                        .that(outcome)
+                        .isEqualTo("BROKEN refused false confirmed false");
+            }
+        }
+
+        @Test
+        void whose_connection_is_reset_during_the_upload_is_not_complete() {
+            endpoint = new BackendEndpoint("b", listen(socket -> {
+                respondEarly(socket);
+                socket.setSoLinger(true, 0);
+            }));
+            relays = List.of(relayHost());
+            assertThat(upload()).isEqualTo("BROKEN refused false confirmed false");
+        }
+
+        // A server that closes a connection with unread bytes resets it.
+        @Test
+        void whose_connection_is_closed_during_the_upload_is_not_complete() {
+            endpoint = new BackendEndpoint("b", listen(this::respondEarly));
+            relays = List.of(relayHost());
+            assertThat(upload()).isEqualTo("BROKEN refused false confirmed false");
+        }
+
+        @Test
+        void that_ends_in_order_before_a_reset_during_the_upload_is_not_complete() {
+            endpoint = new BackendEndpoint("b", listen(socket -> {
+                respondEarly(socket);
+                socket.shutdownOutput();
+                socket.setSoLinger(true, 0);
+            }));
+            relays = List.of(relayHost());
+            assertThat(upload()).isEqualTo("BROKEN refused false confirmed false");
+        }
+
+        @Test
+        void that_ends_after_the_upload_is_complete() {
+            AtomicLong uploadedBytes = new AtomicLong();
+            endpoint = new BackendEndpoint("b", listen(socket -> {
+                respondEarly(socket);
+                uploadedBytes.set(socket.getInputStream().readNBytes(UPLOAD_BYTES).length);
+            }));
+            relays = List.of(relayHost());
+            assertThat(upload()).isEqualTo("first half");
+            assertThat(uploadedBytes.get()).isEqualTo(UPLOAD_BYTES);
+        }
+    }
+
     @Nested
     final class AServerThatIsDown {
         @Test
