Responses: a status that HTTP does not define is no response

What callers saw: a status above 599 (600, 999, 2000) was passed on as the response to a booking, and "+200" or "0200" as a 200. One below 100 was skipped as an informational response, so the request waited for another one until its timeout or until the server closed; that one was then believed. A 101 left the request waiting too, since the decoder passes what follows it on undecoded.

Cause: Netty's decoder accepts any number that is not negative, and every status below 200 counted as informational.

--- a/entry/src/test/java/io/heatherloft/entry/ClosingServerTest.java
+++ b/entry/src/test/java/io/heatherloft/entry/ClosingServerTest.java
@@ -11,6 +11,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Responses of a backend server that end with their connection, beside a server that delimits its responses. */
 final class ClosingServerTest {
@@ -100,6 +101,10 @@
             }
         }
 
+        private static String withStatus(String status, String id) {
+            return ClosingServerStandIn.head(status + " Odd", id, FIELDS) + "booked";
+        }
+
         private void checkBookingFails(ClosingServerStandIn closing) {
             try (ClosingServerStandIn server = closing) {
                 harness.registerBackend("desk", "closing", "v1", server.port());
@@ -122,5 +127,18 @@
         void because_they_are_cut_continue_a_stream_on_another_server(Cut cut) {
             checkResponses(new ClosingServerStandIn(cut::responseTo));
         }
+
+        // Callers got a status above 599 as the response to their request.
+        @ParameterizedTest
+        @ValueSource(strings = {"000", "099", "600", "999", "2000"})
+        void because_of_their_status_fail_a_plain_request(String status) {
+            checkBookingFails(new ClosingServerStandIn(id -> withStatus(status, id)));
+        }
+
+        @ParameterizedTest
+        @ValueSource(strings = {"000", "099", "600", "999", "2000"})
+        void because_of_their_status_continue_a_stream_on_another_server(String status) {
+            checkResponses(new ClosingServerStandIn(id -> withStatus(status, id)));
+        }
     }
 }
--- a/router/src/test/java/io/heatherloft/router/backend/BackendConnectionPoolTest.java
+++ b/router/src/test/java/io/heatherloft/router/backend/BackendConnectionPoolTest.java
@@ -392,6 +392,54 @@
         }
     }
 
+    /** A status that HTTP does not define makes bytes that are no response. */
+    @Nested
+    final class AStatus {
+        // A status below 200 was skipped as an informational response, and one above 599 passed on.
+        @ParameterizedTest
+        @ValueSource(
+                strings = {
+                    "000", "0", "00", "099", "600", "999", "1000", "2000", "20", "-200", "+200", "0200", "abc", "2x0",
+                    "101"
+                })
+        void that_is_undefined_is_broken(String status) throws IOException {
+            BackendEndpoint endpoint = server((socket, _number) -> {
+                readRequest(socket);
+                write(socket, HEAD.replace("200 OK", status + " Odd") + "Content-Length: 0\r\n\r\n");
+            });
+            assertThat(send(endpoint)).isEqualTo("BROKEN");
+        }
+
+        @Test
+        void that_is_undefined_is_broken_whatever_follows() throws IOException {
+            BackendEndpoint endpoint = server((socket, _number) -> {
+                readRequest(socket);
+                write(socket, "HTTP/1.1 000 Odd\r\n\r\n" + HEAD + "Content-Length: 2\r\n\r\nok");
+            });
+            assertThat(send(endpoint)).isEqualTo("BROKEN");
+        }
+
+        @ParameterizedTest
+        @ValueSource(strings = {"100", "102", "103", "199"})
+        void that_is_informational_is_skipped(String status) throws IOException {
+            BackendEndpoint endpoint = server((socket, _number) -> {
+                readRequest(socket);
+                write(socket, "HTTP/1.1 " + status + " Note\r\n\r\n" + HEAD + "Content-Length: 2\r\n\r\nok");
+            });
+            assertThat(send(endpoint)).isEqualTo("complete: ok");
+        }
+
+        @ParameterizedTest
+        @ValueSource(strings = {"200", "200 ", "299 Odd", "404 Not Found", "599 Odd"})
+        void that_is_final_is_passed_on(String status) throws IOException {
+            BackendEndpoint endpoint = server((socket, _number) -> {
+                readRequest(socket);
+                write(socket, HEAD.replace("200 OK", status) + "Content-Length: 2\r\n\r\nok");
+            });
+            assertThat(send(endpoint)).isEqualTo("complete: ok");
+        }
+    }
+
     /** Bytes that a server in trouble sends without end, until the connection is closed. */
     @Nested
     final class AnEndlessResponse {
