A test of admission waits until its requests wait, not for 450 ms

The server now holds its responses until all six later requests wait in the admission control, so the test also shows that they did wait; that they are answered is checked as before.

--- a/entry/src/test/java/io/heatherloft/entry/AdmissionHostTest.java
+++ b/entry/src/test/java/io/heatherloft/entry/AdmissionHostTest.java
@@ -25,7 +25,7 @@
     final class ARequestBeyondTheSlots {
         private static final int LATER = 6;
 
-        /** Returns the responses to requests that come once all slots are taken. */
+        /** Returns the responses to requests that come once all slots are taken; the server first answers when they wait. */
         private List<String> send(Act act, int deadlineMillis) {
             ExecutorService callers = Executors.newFixedThreadPool(SLOTS + LATER);
             try (EntryHostHarness harness = new EntryHostHarness()) {
@@ -33,7 +33,10 @@
                 RunnerStandIn server = harness.startBackend("desk", "d1", "v1");
                 EntryHost host = harness.startReadyHost("h1", EntryHostHarness.freePort(), List.of());
                 harness.awaitBackendCount(host, 1);
-                harness.onLoop(() -> IntStream.range(0, SLOTS).forEach(_index -> server.enqueueActs(act)));
+                harness.onLoop(() -> {
+                    IntStream.range(0, SLOTS).forEach(_index -> server.enqueueActs(act));
+                    server.setHolding(act == Act.ANSWER);
+                });
                 IntStream.range(0, SLOTS)
                         .forEach(index -> callers.execute(
                                 () -> harness.sendPlainRequest(host, "POST", "/bookings/x", "a" + index)));
@@ -47,6 +50,11 @@
                         .map(request -> CompletableFuture.supplyAsync(
                                 () -> EntryHostHarness.exchange(host.callerPort(), request), callers))
                         .toList();
+                if (act == Act.ANSWER) {
+                    harness.await(
+                            () -> harness.get(host.metricsPort(), "/metrics").contains("admission_waiting " + LATER));
+                    harness.onLoop(() -> server.setHolding(false));
+                }
                 return responses.stream().map(CompletableFuture::join).toList();
             } finally {
                 callers.shutdownNow();
@@ -56,7 +64,7 @@
         // Guards against a refusal of requests that need only wait for a slot.
         @Test
         void waits_for_a_slot_and_is_answered() {
-            send(Act.DELAY, 2_000).forEach(response -> assertThat(response).startsWith("HTTP/1.1 200"));
+            send(Act.ANSWER, 2_000).forEach(response -> assertThat(response).startsWith("HTTP/1.1 200"));
         }
 
         // Guards against requests that wait until their deadline, and against a 504 for one that no server has seen.
