A response in progress is given up only once a server has capacity for its repetition

Callers saw streams broken off long before their deadline although no server had broken off, and got 502 although a response was in progress or had arrived: a repetition after a silence, a response of low confidence or a 5xx cancelled or dropped what there was and then asked the admission control, which could refuse or displace it. A stream whose server did break off competed with new requests and lost.

Cause: break before make in RequestExecution, and the admission control did not know that a response had begun.

Change: - Silence: the attempt goes on while its repetition waits. It is cancelled in the task that sends the repetition, which also takes the token of the retry budget. If the attempt becomes active the repetition is withdrawn; if the repetition is refused the attempt goes on (decision "kept") and is checked again later. A host that stops, a blocked prompt part or a spent budget leaves the attempt as it is. - Low confidence and 5xx: the response at hand is given up only if a server has capacity at that moment (AdmissionControl.selectNow). After a 5xx that may be the slot that its own attempt has freed, ahead of those that wait: one slot that it held before. A 5xx that cannot be passed on (stream begun, or a status that means "not executed") waits as a lost response does. - AdmissionRequest.begun: a request whose response the caller has begun to read goes first, by deadline, is never displaced, and is refused only at its deadline or at a stop; while no server may be used it waits instead of being broken off. It held a place before, so there are no more of these than were admitted. What changes for the others: they may have to wait for these whatever their priority. Their order, the turn of the oldest in eight, the strides of workspaces and the places of priorities are the same as without these. - The confidence line says "kept" also if a larger model was wanted and there was no capacity.

Not changed: without admission control a begun stream is still broken off if no server may be used, and a stream that no server has room for by TokenRoom waits until its deadline. With a spent budget or no attempts left a stream that its server broke off ends.

Tests: AResponseThatHasBegun (AdmissionTest, 3) and ARequestSentAgainUnderOverload (AdmissionHostTest, 6, over sockets).

--- a/domain/src/main/java/io/heatherloft/domain/admission/AdmissionRequest.java
+++ b/domain/src/main/java/io/heatherloft/domain/admission/AdmissionRequest.java
@@ -11,6 +11,7 @@
  * @param priority priority, 0 being the highest
  * @param workspace workspace of the caller; empty if it is anonymous
  * @param returned true if the request came back after a refusal, or was rejected or lost by a server
+ * @param begun true if the caller has begun to read the response, which is lost if the request is refused
  * @param arrivedAtMillis time at which the request arrived
  * @param queuedAtMillis time at which it asked for admission
  * @param objectiveAtMillis time at which its latency objective is missed
@@ -23,6 +24,7 @@
         int priority,
         String workspace,
         boolean returned,
+        boolean begun,
         long arrivedAtMillis,
         long queuedAtMillis,
         long objectiveAtMillis,
@@ -52,13 +54,16 @@
         return FIXED_MILLIS + promptTokens / PROMPT_TOKENS_PER_MILLI + outputTokens * MILLIS_PER_OUTPUT_TOKEN;
     }
 
-    /** Returns true if the request has waited so long that it goes first in its priority. */
+    /** Returns true if the request goes first in its priority, since it has begun or waited so long. */
     boolean isProtected(long nowMillis) {
-        return nowMillis >= arrivedAtMillis + (long) (PROTECTED_AFTER * (deadlineAtMillis - arrivedAtMillis));
+        return begun || nowMillis >= arrivedAtMillis + (long) (PROTECTED_AFTER * (deadlineAtMillis - arrivedAtMillis));
     }
 
     /** Returns the time at which a request that still waits is refused. */
     long refusedAtMillis(double serviceMillis) {
+        if (begun) {
+            return deadlineAtMillis;
+        }
         long latest = queuedAtMillis + (long) (REFUSED_AFTER * (deadlineAtMillis - queuedAtMillis));
         return Math.min(latest, deadlineAtMillis - (long) serviceMillis);
     }
--- a/domain/src/main/java/io/heatherloft/domain/admission/ServiceAdmission.java
+++ b/domain/src/main/java/io/heatherloft/domain/admission/ServiceAdmission.java
@@ -15,7 +15,8 @@
  *
  * <p>A request is {@link #add}ed, then the requests for which there is capacity are taken by {@link #next}, and if it still
  * waits, {@link #settle} decides whether it may. So no request is refused while a known server has capacity for it.
- * Invariants: a waiting request is refused while its caller still has a quarter of the time; the queue is bounded; a host
+ * Invariants: a waiting request is refused while its caller still has a quarter of the time; one whose response has begun is
+ * refused only at its deadline or when the host sends it no more; the queue is bounded, beside those that have begun; a host
  * that stops sends and keeps nothing that {@link StopDeadlines} forbid.
  * Confined to one thread.
  *
@@ -143,7 +144,10 @@
         if (nowMillis >= latestMillis) {
             return Optional.of(refuse(request, estimate, false));
         }
-        boolean full = queue.size() > capacity;
+        if (request.begun()) {
+            return Optional.empty();
+        }
+        boolean full = queue.sizeOfNotBegun() > capacity;
         boolean late = isLate(estimate, 0, latestMillis, nowMillis);
         if (late && stop.outlasts(request.deadlineAtMillis())) {
             // Another host may have capacity for it, so it needs no place that its priority keeps here.
@@ -175,7 +179,7 @@
         double serviceMillis = freedSlots.expectedMillis(request.work());
         return Math.min(
                 request.refusedAtMillis(serviceMillis),
-                stop.latestSendMillis(request.deadlineAtMillis(), serviceMillis));
+                stop.latestSendMillis(request.deadlineAtMillis(), request.begun() ? 0 : serviceMillis));
     }
 
     // The number of requests that can be served before the last of them would be refused.
@@ -202,6 +206,9 @@
 
     private boolean isDisplaceable(
             AdmissionRequest<T> waiting, AdmissionRequest<T> arriving, int capacity, long nowMillis) {
+        if (waiting.begun()) {
+            return false;
+        }
         return waiting.priority() == arriving.priority()
                 ? !waiting.isProtected(nowMillis)
                 : waiting.priority() > arriving.priority()
@@ -226,11 +233,12 @@
                 .toList();
     }
 
-    /** Returns the first request by deadline that goes first in its priority and that {@code blocked} accepts. */
+    /** Returns the first request that has begun, or goes first in its priority, and that {@code blocked} accepts. */
     public Optional<AdmissionRequest<T>> firstProtected(Predicate<AdmissionRequest<T>> blocked, long nowMillis) {
         return queue.all()
                 .filter(request -> request.isProtected(nowMillis))
-                .sorted(Comparator.<AdmissionRequest<T>>comparingInt(AdmissionRequest::priority)
+                .sorted(Comparator.<AdmissionRequest<T>, Boolean>comparing(request -> !request.begun())
+                        .thenComparingInt(AdmissionRequest::priority)
                         .thenComparingLong(AdmissionRequest::deadlineAtMillis))
                 .filter(blocked)
                 .findFirst();
--- a/domain/src/main/java/io/heatherloft/domain/routing/RetryBudget.java
+++ b/domain/src/main/java/io/heatherloft/domain/routing/RetryBudget.java
@@ -44,6 +44,11 @@
         balance = Math.min(balance, capacity);
     }
 
+    /** Returns true if a token for a retry is available. */
+    public boolean isAvailable() {
+        return balance >= 1;
+    }
+
     /** Takes a token for a retry; returns false if none is available. */
     public boolean tryAcquire() {
         return tryAcquire(0);
--- a/domain/src/test/java/io/heatherloft/domain/admission/AdmissionHarness.java
+++ b/domain/src/test/java/io/heatherloft/domain/admission/AdmissionHarness.java
@@ -42,6 +42,10 @@
     final List<Call> lost = new ArrayList<>();
     /** Calls that a host refused because it stopped. */
     final List<Call> refusedByStop = new ArrayList<>();
+    /** Calls that were refused although their callers had begun to read the responses. */
+    final List<Call> brokenOff = new ArrayList<>();
+    /** True if callers read responses as they are made, so that a call has begun once a server runs it. */
+    boolean streams;
     /** Delays in milliseconds that the callers of refused requests were told. */
     final List<Long> delays = new ArrayList<>();
 
@@ -74,6 +78,7 @@
         long askedAtMillis = -1;
         int attempts;
         int refusals;
+        boolean begun;
         boolean served;
 
         Call(Load load, boolean impatient) {
@@ -196,6 +201,7 @@
             while (running < slots && !queue.isEmpty()) {
                 Call call = queue.remove();
                 running++;
+                call.begun = streams;
                 after(call.load.service(), () -> finish(call));
             }
         }
@@ -286,6 +292,7 @@
                     call.load.priority(),
                     call.load.workspace(),
                     call.attempts > 0 || admission.isReturn(Optional.of(call.id), now),
+                    call.begun,
                     call.arrivedAtMillis,
                     call.askedAtMillis,
                     call.arrivedAtMillis + call.load.objective(),
@@ -416,6 +423,9 @@
             if (reserving.filter(refusal.request()::equals).isPresent()) {
                 reserving = Optional.empty();
             }
+            if (call.begun && now < call.deadlineAtMillis()) {
+                brokenOff.add(call);
+            }
             call.refusals++;
             long left = call.deadlineAtMillis() - now;
             long quarter = (call.deadlineAtMillis() - call.askedAtMillis) / 4;
--- a/domain/src/test/java/io/heatherloft/domain/admission/AdmissionTest.java
+++ b/domain/src/test/java/io/heatherloft/domain/admission/AdmissionTest.java
@@ -230,6 +230,74 @@
         }
     }
 
+    @Nested
+    final class AResponseThatHasBegun {
+        private static final long DEADLINE_MILLIS = 9_000;
+
+        private static AdmissionRequest<String> request(String item, int priority, boolean begun) {
+            return new AdmissionRequest<>(item, priority, "w", false, begun, 0, 0, 1_000, DEADLINE_MILLIS, 100, 0);
+        }
+
+        private static List<String> takeAll(ServiceAdmission<String> admission) {
+            return Stream.generate(() -> admission.next(_request -> true, 0))
+                    .takeWhile(Optional::isPresent)
+                    .map(request -> request.orElseThrow().item())
+                    .toList();
+        }
+
+        // Guards against a stream that is broken off because urgent requests take the slot that its server has lost.
+        @Test
+        void goes_first_and_leaves_the_order_of_the_others_as_it_is() {
+            ServiceAdmission<String> alone = new ServiceAdmission<>();
+            ServiceAdmission<String> beside = new ServiceAdmission<>();
+            beside.add(request("begun", 2, true));
+            IntStream.range(0, 20)
+                    .mapToObj(index -> request("r" + index, index % 3, false))
+                    .forEach(other -> {
+                        alone.add(other);
+                        beside.add(other);
+                    });
+            List<String> taken = takeAll(beside);
+            assertThat(taken.get(0)).isEqualTo("begun");
+            assertThat(taken.subList(1, taken.size())).isEqualTo(takeAll(alone));
+        }
+
+        // Guards against a stream that is broken off in favour of requests that have not begun.
+        @Test
+        void is_neither_displaced_nor_refused_before_its_deadline() {
+            ServiceAdmission<String> admission = new ServiceAdmission<>();
+            AdmissionRequest<String> begun = request("begun", 2, true);
+            admission.add(begun);
+            assertThat(admission.settle(begun, DEADLINE_MILLIS - 1)).isEmpty();
+            IntStream.range(0, 100)
+                    .mapToObj(index -> request("r" + index, 0, false))
+                    .forEach(urgent -> {
+                        admission.add(urgent);
+                        admission.settle(urgent, 0).ifPresent(refused -> assertThat(refused.request())
+                                .isNotEqualTo(begun));
+                    });
+            assertThat(admission.refuseOverdue(DEADLINE_MILLIS - 1).stream()
+                            .map(ServiceAdmission.Refusal::request)
+                            .toList())
+                    .doesNotContain(begun);
+            assertThat(admission.refuseOverdue(DEADLINE_MILLIS).stream()
+                            .map(ServiceAdmission.Refusal::request)
+                            .toList())
+                    .containsExactly(begun);
+        }
+
+        // Guards against streams that end broken off for want of capacity: half of the servers go at a load of 1.5.
+        @Test
+        void goes_on_at_another_server_under_overload() {
+            AdmissionHarness harness = harness(6, 0);
+            harness.streams = true;
+            addCalls(harness, 6, 1.5, 0, 12_000, AdmissionTest::randomLoad, _load -> false);
+            harness.at(8_000, () -> harness.servers.subList(0, 4).forEach(AdmissionHarness.Server::remove));
+            harness.runUntil(45_000);
+            assertThat(harness.brokenOff).isEmpty();
+        }
+    }
+
     @Nested
     final class ALostZone {
         // A quarter of the servers goes at a load of 0.9: what is most urgent fits the rest and must not notice.
@@ -359,7 +427,8 @@
         @Test
         void go_first_in_their_workspace_only_if_they_waited() {
             ServiceAdmission<String> admission = new ServiceAdmission<>();
-            AdmissionRequest<String> request = new AdmissionRequest<>("a", 0, "w", false, 0, 0, 1_000, 9_000, 100, 0);
+            AdmissionRequest<String> request =
+                    new AdmissionRequest<>("a", 0, "w", false, false, 0, 0, 1_000, 9_000, 100, 0);
             ServiceAdmission.Refusal<String> refusal =
                     new ServiceAdmission.Refusal<>(request, admission.estimate(request, 0), false, false);
             long delay = admission.returnDelayMillis(refusal, Optional.of("id"), 0);
--- a/entry/src/test/java/io/heatherloft/entry/AdmissionHostTest.java
+++ b/entry/src/test/java/io/heatherloft/entry/AdmissionHostTest.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.Executors;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -169,4 +170,161 @@
             stopped.join();
         }
     }
+
+    /** A request to be sent again, while the only server is full and more urgent requests wait for its slots. */
+    @Nested
+    final class ARequestSentAgainUnderOverload {
+        private static final int URGENT = 6;
+        private final EntryHostHarness harness = new EntryHostHarness();
+        private final ExecutorService callers = Executors.newCachedThreadPool();
+        private RunnerStandIn server;
+        private EntryHost host;
+
+        @BeforeEach
+        void start() {
+            harness.admissionControl = true;
+            // The bookings are the most urgent, use the servers of the streams and last until they are answered.
+            harness.onLoop(() -> harness.store.put(
+                    "op/config",
+                    PlatformFixtures.configuration(2, EntryHostHarness.API_KEY)
+                            .replace("\"timeout_ms\":2000", "\"timeout_ms\":20000")
+                            .replace("\"service\":\"desk\"", "\"service\":\"llm\"")
+                            .replaceFirst("\"priority\":2", "\"priority\":0")
+                            .replace("\"priority\":1,\"sizes\"", "\"priority\":5,\"sizes\"")
+                            .replace("\"api_keys\":[\"k1\"],\"priority\":1", "\"api_keys\":[\"k1\"]")));
+            server = harness.startBackend("llm", "s1", "v1");
+            host = harness.startReadyHost("h1", EntryHostHarness.freePort(), List.of());
+            harness.awaitBackendCount(host, 1);
+        }
+
+        @AfterEach
+        void close() {
+            callers.shutdownNow();
+            harness.close();
+        }
+
+        private CompletableFuture<String> send(String request) {
+            return CompletableFuture.supplyAsync(
+                    () -> EntryHostHarness.exchange(host.callerPort(), EntryHostHarness.withConnectionClose(request)),
+                    callers);
+        }
+
+        private void sendBookings(String prefix, int count) {
+            IntStream.range(0, count).forEach(index -> {
+                CompletableFuture<String> _response = send(
+                        PlatformFixtures.plainRequest("POST", "/bookings/x", prefix + index, EntryHostHarness.API_KEY)
+                                .replaceFirst("X-Deadline-Ms: [0-9]+", "X-Deadline-Ms: 20000"));
+            });
+        }
+
+        private void awaitMetric(String line) {
+            harness.await(() -> harness.get(host.metricsPort(), "/metrics").contains(line));
+        }
+
+        /** Sends a request that the server begins to answer once it and the queue are full. */
+        private CompletableFuture<String> sendAmongUrgent(Act act, Act next, String request) {
+            CompletableFuture<String> response = sendAndHold(act, next, request);
+            harness.onLoop(() -> server.setHolding(false));
+            return response;
+        }
+
+        /**
+         * Sends a request, for which the server holds its response, and fills the server and the queue.
+         *
+         * @param next behaviour of the server for the request that it gets next
+         */
+        private CompletableFuture<String> sendAndHold(Act act, Act next, String request) {
+            harness.onLoop(() -> {
+                IntStream.range(0, SLOTS - 1).forEach(_index -> server.enqueueActs(Act.SILENCE));
+                server.enqueueActs(act, next);
+                IntStream.range(0, URGENT).forEach(_index -> server.enqueueActs(Act.SILENCE));
+            });
+            sendBookings("a", SLOTS - 1);
+            awaitMetric("requests_in_progress " + (SLOTS - 1));
+            harness.await(() -> harness.onLoop(() -> server.receivedRequests().size()) == SLOTS - 1);
+            harness.onLoop(() -> server.setHolding(true));
+            CompletableFuture<String> response = send(request);
+            harness.await(() -> harness.onLoop(() -> server.receivedRequests().size()) == SLOTS);
+            sendBookings("b", URGENT);
+            harness.await(() -> harness.get(host.metricsPort(), "/metrics").contains("admission_waiting " + URGENT)
+                    || harness.get(host.metricsPort(), "/metrics").contains("admission_waiting " + (URGENT + 1)));
+            return response;
+        }
+
+        private String stream(int deadlineMillis) {
+            return PlatformFixtures.streamRequest("s", EntryHostHarness.API_KEY)
+                    .replaceFirst("X-Deadline-Ms: [0-9]+", "X-Deadline-Ms: " + deadlineMillis);
+        }
+
+        private void assertWhole(String response) {
+            assertThat(response).startsWith("HTTP/1.1 200");
+            IntStream.rangeClosed(1, 8).forEach(event -> assertThat(response.split("id: " + event + "\n", -1))
+                    .hasLength(2));
+            assertThat(response).endsWith("0\r\n\r\n");
+        }
+
+        // Guards against a stream that is cancelled because its server pauses, and then broken off because the slot
+        // that it
+        // gave up goes to others.
+        @Test
+        void keeps_its_stream_while_the_server_pauses() {
+            CompletableFuture<String> response = sendAmongUrgent(Act.PAUSE_STREAM, Act.SILENCE, stream(9_000));
+            harness.await(
+                    () -> harness.get(host.metricsPort(), "/metrics").contains("admission_waiting " + (URGENT + 1))
+                            || harness.onLoop(() -> server.callerDisconnects()) > 0);
+            harness.onLoop(() -> server.resumeStreams());
+            assertWhole(response.join());
+            awaitMetric("admission_waiting " + (URGENT - 1));
+            assertThat(harness.onLoop(() -> server.callerDisconnects())).isEqualTo(0);
+        }
+
+        // Guards against a stream that stays with a silent server although another one has capacity.
+        @Test
+        void goes_on_at_another_server_once_that_has_capacity() {
+            CompletableFuture<String> response = sendAmongUrgent(Act.PAUSE_STREAM, Act.SILENCE, stream(20_000));
+            awaitMetric("admission_waiting " + (URGENT + 1));
+            RunnerStandIn other = harness.startBackend("llm", "s2", "v1");
+            assertWhole(response.join());
+            assertThat(harness.onLoop(() -> other.receivedRequests().stream()
+                            .map(request -> request.headers().get("Last-Event-Id", ""))
+                            .filter("4"::equals)
+                            .count()))
+                    .isEqualTo(1);
+            assertThat(harness.onLoop(() -> server.callerDisconnects())).isEqualTo(1);
+        }
+
+        // Guards against a stream that its server broke off and that is then refused in favour of urgent requests.
+        @Test
+        void goes_on_first_after_its_server_broke_off() {
+            assertWhole(
+                    sendAmongUrgent(Act.BREAK_STREAM, Act.ANSWER, stream(3_000)).join());
+        }
+
+        // Guards against a response of low confidence that is dropped although no server can run a larger model.
+        @Test
+        void keeps_a_response_of_low_confidence() {
+            harness.onLoop(() -> server.setConfidence(10));
+            assertWhole(sendAmongUrgent(Act.ANSWER, Act.SILENCE, stream(3_000)).join());
+        }
+
+        // Guards against a 502 for a request whose repetition after a 5xx waits behind others.
+        @Test
+        void is_answered_after_a_server_error() {
+            String request = PlatformFixtures.plainRequest("GET", "/lookups/x", "l", EntryHostHarness.API_KEY);
+            String response = sendAmongUrgent(Act.FAIL, Act.ANSWER, request).join();
+            assertThat(response).contains("X-Runner-Seal: s1.seal");
+        }
+
+        // Guards against a 502 for a request whose repetition is refused while its server still works on it.
+        @Test
+        void stays_with_its_server_if_its_repetition_is_refused() {
+            String request = PlatformFixtures.plainRequest("GET", "/lookups/x", "l", EntryHostHarness.API_KEY)
+                    .replaceFirst("X-Deadline-Ms: [0-9]+", "X-Deadline-Ms: 8000");
+            CompletableFuture<String> response = sendAndHold(Act.ANSWER, Act.SILENCE, request);
+            harness.await(() -> response.isDone()
+                    || harness.get(host.metricsPort(), "/metrics").contains("admission_total_kept"));
+            harness.onLoop(() -> server.setHolding(false));
+            assertThat(response.join()).startsWith("HTTP/1.1 200");
+        }
+    }
 }
--- a/router/src/main/java/io/heatherloft/router/request/AdmissionControl.java
+++ b/router/src/main/java/io/heatherloft/router/request/AdmissionControl.java
@@ -33,7 +33,8 @@
  * Admission control: lets a request be sent when a server has capacity for it, and otherwise lets it wait or refuses it.
  *
  * <p>The order and the refusals are decided by {@link ServiceAdmission}. Invariants: a request is sent at once if a known
- * server has capacity for it; each request that asks is sent, refused, or withdrawn. Confined to the loop's thread.
+ * server has capacity for it; each request that asks is sent, refused, or withdrawn, or goes on with the attempt that it has.
+ * Confined to the loop's thread.
  */
 final class AdmissionControl {
     private static final long CHECK_MILLIS = 20L;
@@ -105,26 +106,43 @@
 
     /** Asks for admission; the request is sent, or refused, now or later. */
     void request(RequestExecution execution) {
-        long now = loop.nowMillis();
         Service service = services.computeIfAbsent(execution.service(), _name -> newService());
+        AdmissionRequest<RequestExecution> request = newRequest(service, execution);
+        service.waiting.put(execution, request);
+        service.arriving.add(request);
+        service.admission.add(request);
+        check(execution.service(), service);
+    }
+
+    private AdmissionRequest<RequestExecution> newRequest(Service service, RequestExecution execution) {
+        long now = loop.nowMillis();
         RequestMetadata metadata = execution.metadata();
         boolean returned = execution.sendCount() > 0 || service.admission.isReturn(metadata.attemptId(), now);
         long arrivedAtMillis = execution.request().arrivedAtMillis();
-        AdmissionRequest<RequestExecution> request = new AdmissionRequest<>(
+        return new AdmissionRequest<>(
                 execution,
                 execution.priority(),
                 execution.workspace(),
                 returned,
+                execution.hasBegun(),
                 arrivedAtMillis,
                 execution.firstAskedMillis(now),
                 arrivedAtMillis + execution.route().objectiveMillis(),
                 execution.deadlineAtMillis(),
                 workOf(metadata),
                 metadata.heldTokens());
-        service.waiting.put(execution, request);
-        service.arriving.add(request);
-        service.admission.add(request);
-        check(execution.service(), service);
+    }
+
+    /**
+     * Returns how a request that was sent before can be sent again now; empty if no known server has capacity for it. Nothing is
+     * kept for the request, so it must be sent in the same task.
+     */
+    Optional<AttemptBackendSelector.Selection> selectNow(RequestExecution execution) {
+        Service service = services.get(execution.service());
+        Capacity capacity = capacity(execution.service(), service);
+        return capacity.admit(newRequest(service, execution))
+                .filter(admitted -> !admitted.probe())
+                .flatMap(admitted -> admitted.selection().or(execution::selectBest));
     }
 
     private Service newService() {
@@ -149,6 +167,7 @@
         }
         AdmissionRequest<RequestExecution> request = service.waiting.remove(execution);
         if (request != null && service.admission.remove(request)) {
+            boolean _arriving = service.arriving.remove(request);
             metrics.counter("admission_total.withdrawn").inc();
             releaseReservation(service, request);
         }
@@ -294,7 +313,7 @@
         if (waited) {
             log("admitted", request, capacity, line -> line.with("old_reports_only", admitted.probe()));
         }
-        if (waited && !execution.checkAfterWait()) {
+        if (!execution.beginSend(waited)) {
             return;
         }
         if (admitted.probe()) {
@@ -310,7 +329,8 @@
                 continue;
             }
             ServiceAdmission.Estimate estimate = service.admission.estimate(request, loop.nowMillis());
-            Optional<Refusal<RequestExecution>> refusal = capacity.couldSend(request)
+            // No other host can go on with a response that has begun.
+            Optional<Refusal<RequestExecution>> refusal = request.begun() || capacity.couldSend(request)
                     ? service.admission.settle(request, loop.nowMillis())
                     : Optional.of(service.admission.refuseUnsendable(request, loop.nowMillis()));
             if (refusal.isEmpty() || refusal.get().displaced()) {
@@ -329,6 +349,11 @@
         RequestExecution execution = refusal.request().item();
         service.waiting.remove(execution);
         releaseReservation(service, refusal.request());
+        if (execution.keepsRunningAttempt()) {
+            metrics.counter("admission_total.kept").inc();
+            log("kept", refusal.request(), capacity, line -> addEstimate(line, refusal.estimate()));
+            return;
+        }
         // The caller need not wait for this host's queue.
         long delayMillis = refusal.stopping()
                 ? Math.round(RefusalReason.HOST_STOPPING.retryAfterSeconds() * MILLIS_PER_SECOND)
@@ -475,7 +500,10 @@
             // admission control.
             if (view.healthy().stream().noneMatch(version::isOf)
                     || !known.couldHoldAlone(request.tokens(), version::isOf)) {
-                return Optional.of(Admitted.UNCHECKED);
+                // A response that has begun waits for a server instead of being broken off.
+                return request.begun() && execution.selectBest().isEmpty()
+                        ? Optional.empty()
+                        : Optional.of(Admitted.UNCHECKED);
             }
             boolean reserved = service.reserved
                     .filter(reservation -> reservation.request().equals(request))
--- a/router/src/main/java/io/heatherloft/router/request/Attempt.java
+++ b/router/src/main/java/io/heatherloft/router/request/Attempt.java
@@ -161,16 +161,22 @@
                         return;
                     }
                     stalled = true;
-                    if (execution.tryRetryAfterInactivity(this)) {
-                        server.health().recordFailure(execution.engine().loop().nowMillis());
-                        execution
+                    if (execution.repeatAfterInactivity(this)) {
+                        inactivityTimer = execution
                                 .engine()
-                                .connectionPool()
-                                .closeIdle(server.entry().id());
+                                .loop()
+                                .schedule(Math.max(timeoutMillis, INACTIVITY_CHECK_MILLIS), this::checkInactivity);
                     }
                 });
     }
 
+    /** Cancels the attempt because its server has been inactive for too long. */
+    void giveUp() {
+        cancel();
+        server.health().recordFailure(execution.engine().loop().nowMillis());
+        execution.engine().connectionPool().closeIdle(server.entry().id());
+    }
+
     void cancel() {
         if (!ended) {
             markEnded(exchange != null && exchange.isSent());
--- a/router/src/main/java/io/heatherloft/router/request/RequestExecution.java
+++ b/router/src/main/java/io/heatherloft/router/request/RequestExecution.java
@@ -17,12 +17,15 @@
 /**
  * Executes one admitted request of a caller, including retries, until the final response.
  *
- * <p>Invariants: at most one attempt is in progress; a non-idempotent request is retried only if no attempt can have
- * executed it; a status that implies "not executed" is returned only if no attempt can have executed the request.
+ * <p>Invariants: at most one attempt is in progress; it is given up for a repetition only in the task that sends the
+ * repetition, so a request keeps its attempt while there is no capacity elsewhere; a non-idempotent request is retried only
+ * if no attempt can have executed it; a status that implies "not executed" is returned only if no attempt can have
+ * executed the request.
  * Confined to the loop's thread.
  */
 final class RequestExecution implements CallerExchange.Listener {
     private static final int STATUS_OK = 200;
+    private static final String SILENCE = "silence";
     // Minimum time before the deadline at which sending the request still makes sense.
     private static final long MIN_TIME_LEFT_MILLIS = 5L;
     // Failed connections tolerated per request. They don't count as sends, since no byte of the request was sent.
@@ -44,6 +47,8 @@
     private final CrashGuard crashGuard;
     private Loop.Cancellation deadlineTimer = () -> {};
     private Attempt attempt;
+    // The inactive attempt that goes on while its repetition waits for capacity.
+    private Optional<Attempt> replaceable = Optional.empty();
     private int sendCount;
     private int connectFailures;
     private long firstAskedMillis = -1;
@@ -119,7 +124,8 @@
      * since: a request that servers only reject does not wait longer than others.
      */
     long firstAskedMillis(long nowMillis) {
-        firstAskedMillis = mayHaveExecuted || firstAskedMillis < 0 ? nowMillis : firstAskedMillis;
+        boolean keeps = !mayHaveExecuted && replaceable.isEmpty() && firstAskedMillis >= 0;
+        firstAskedMillis = keeps ? firstAskedMillis : nowMillis;
         return firstAskedMillis;
     }
 
@@ -166,10 +172,29 @@
         }
     }
 
+    /** Returns true if the caller has begun to read the response. */
+    boolean hasBegun() {
+        return streamStarted;
+    }
+
+    /** Returns the best server, whether or not it has capacity; empty if none may be used. */
+    Optional<AttemptBackendSelector.Selection> selectBest() {
+        return engine.backendSelector().select(service, metadata, priority(), triedServers);
+    }
+
+    // For a repetition that replaces a usable response: it does not wait for capacity.
+    private Optional<AttemptBackendSelector.Selection> selectNow() {
+        if (crashGuard.reasonToBlock().isPresent()) {
+            return Optional.empty();
+        }
+        return engine.admissionControl()
+                .map(admission -> admission.selectNow(this))
+                .orElseGet(this::selectBest);
+    }
+
     /** Sends the request to the best server, whether or not it has capacity. */
     void sendToBestServer() {
-        Optional<AttemptBackendSelector.Selection> selected =
-                engine.backendSelector().select(service, metadata, priority(), triedServers);
+        Optional<AttemptBackendSelector.Selection> selected = selectBest();
         if (selected.isEmpty()) {
             fail(engine.backendSelector().reasonForNoServer(service));
         } else {
@@ -205,12 +230,45 @@
     }
 
     /**
-     * Returns true if the request may still be sent after it has waited; otherwise it has been ended, since servers have
-     * crashed on it meanwhile.
+     * Called when a server has capacity for the request, which must then be sent in the same task. An attempt that it
+     * replaces is given up.
+     *
+     * @param waited true if the request has waited, so that servers may have crashed on it meanwhile
+     * @return false if the request is not sent: it has been ended, or stays with its running attempt
      */
-    boolean checkAfterWait() {
-        crashGuard.reasonToBlock().ifPresent(this::fail);
-        return !ended;
+    boolean beginSend(boolean waited) {
+        Optional<RefusalReason> blocked = waited ? crashGuard.reasonToBlock() : Optional.empty();
+        if (replaceable.isEmpty()) {
+            blocked.ifPresent(this::fail);
+            return !ended;
+        }
+        Attempt replaced = replaceable.get();
+        replaceable = Optional.empty();
+        if (blocked.isPresent() || !hasServer() || !mayRetry(SILENCE)) {
+            return false;
+        }
+        mayHaveExecuted = true;
+        relay.discardPartialEvent();
+        replaced.giveUp();
+        return true;
+    }
+
+    /**
+     * Called when the request is refused for lack of capacity, or because the host stops.
+     *
+     * @return true if only a repetition is given up, so that the request stays with its running attempt
+     */
+    boolean keepsRunningAttempt() {
+        boolean kept = replaceable.isPresent();
+        replaceable = Optional.empty();
+        return kept;
+    }
+
+    private void withdrawRepetition() {
+        if (replaceable.isPresent()) {
+            replaceable = Optional.empty();
+            engine.admissionControl().ifPresent(admission -> admission.withdraw(this));
+        }
     }
 
     /** Ends the request because there is no capacity for it. */
@@ -235,6 +293,7 @@
 
     /** Called when a server has begun to respond to an attempt, or rejects it. */
     void onResponseBegun() {
+        withdrawRepetition();
         engine.admissionControl().ifPresent(admission -> admission.onResponseBegun(this));
     }
 
@@ -271,28 +330,28 @@
         if (!isCurrent(running) || streamStarted || !cascade.hasLargerModel()) {
             return true;
         }
-        boolean sufficient = cascade.isSufficient(confidence);
+        Optional<AttemptBackendSelector.Selection> larger =
+                cascade.isSufficient(confidence) ? Optional.empty() : selectNow();
         engine.log().request("confidence", metadata.attemptId().orElse(""), line -> line.with("route", route.name())
                 .with("model", cascade.currentModel().orElse(""))
                 .with("prompt_tokens", metadata.promptTokens())
                 .with("expected_output_tokens", metadata.expectedOutputTokens())
                 .with("confidence", confidence.orElse(0))
-                .with("outcome", sufficient ? "kept" : "larger"));
-        if (sufficient
-                || !hasServer()
-                || !mayRetry("confidence " + confidence.orElse(0), RetryBudget::tryAcquireOptional)) {
+                .with("outcome", larger.isPresent() ? "larger" : "kept"));
+        if (larger.isEmpty() || !mayRetry("confidence " + confidence.orElse(0), RetryBudget::tryAcquireOptional)) {
             return true;
         }
         running.cancel();
         mayHaveExecuted = true;
         cascade.escalate();
-        dispatch();
+        send(larger.get());
         return false;
     }
 
     /** Called when the server has stated that it has not executed the request and will not execute it. */
     void onNotExecuted(Attempt ending, String reason) {
         if (isCurrent(ending)) {
+            withdrawRepetition();
             triedServers.add(ending.server().entry());
             if (mayRetry(reason)) {
                 dispatch();
@@ -309,6 +368,7 @@
         if (!isCurrent(ending)) {
             return;
         }
+        withdrawRepetition();
         triedServers.add(ending.server().entry());
         if (failure.kind() == ExchangeFailure.Kind.NOT_SENT) {
             crashGuard.onNotSent(ending.server(), failure);
@@ -332,21 +392,32 @@
     }
 
     /**
-     * Retries the request on another server if the retry limits allow it; called when the attempt has been inactive for
-     * too long.
+     * Repeats the request on another server if the retry limits allow it and once a server has capacity; called when the
+     * attempt has been inactive for too long. The attempt goes on until then.
      *
-     * @return true if the attempt was cancelled in favour of a retry; false if it continues
+     * @return true if the attempt continues and should be checked again later
      */
-    boolean tryRetryAfterInactivity(Attempt inactive) {
-        if (!isCurrent(inactive) || !hasServer() || !mayRetry("silence")) {
+    boolean repeatAfterInactivity(Attempt inactive) {
+        if (!isCurrent(inactive)) {
+            return false;
+        }
+        if (replaceable.isPresent()
+                || !hasServer()
+                || crashGuard.reasonToBlock().isPresent()) {
+            return true;
+        }
+        if (!isRetryAllowed() || !engine.retryBudget(service).isAvailable()) {
+            logRetry(SILENCE, false);
             return false;
         }
         triedServers.add(inactive.server().entry());
-        mayHaveExecuted = true;
-        relay.discardPartialEvent();
-        inactive.cancel();
-        dispatch();
-        return true;
+        replaceable = Optional.of(inactive);
+        if (engine.admissionControl().isPresent()) {
+            engine.admissionControl().get().request(this);
+        } else if (beginSend(false)) {
+            sendToBestServer();
+        }
+        return isCurrent(inactive);
     }
 
     /** Called when a complete, non-streamed response has arrived. */
@@ -355,22 +426,29 @@
             body.release();
             return;
         }
+        withdrawRepetition();
         mayHaveExecuted = true;
         crashGuard.onResponseCompleted(status);
         boolean failed = status >= 500;
         if (failed) {
             triedServers.addFailure(ending.server().entry());
         }
-        if (failed && route.repeatPolicy().mayRepeat() && hasServer() && mayRetry("status " + status)) {
+        // Passing on some statuses would tell the caller that the request has not been executed.
+        boolean usable = !streamStarted && !impliesNotExecuted(status);
+        boolean repeatable = failed && route.repeatPolicy().mayRepeat();
+        Optional<AttemptBackendSelector.Selection> next = repeatable && usable ? selectNow() : Optional.empty();
+        if (next.isPresent() && mayRetry("status " + status)) {
+            body.release();
+            send(next.get());
+        } else if (usable) {
+            finish("answered", status);
+            exchange.sendResponse(status, engine.headerCodec().callerResponseHeaders(headers), body);
+        } else if (repeatable && hasServer() && mayRetry("status " + status)) {
             body.release();
             dispatch();
-        } else if (streamStarted || impliesNotExecuted(status)) {
-            // Passing on such a status would tell the caller that the request has not been executed.
+        } else {
             body.release();
             fail(RefusalReason.ANSWER_LOST);
-        } else {
-            finish("answered", status);
-            exchange.sendResponse(status, engine.headerCodec().callerResponseHeaders(headers), body);
         }
     }
 
@@ -392,6 +470,7 @@
     }
 
     private void sendEvent(ByteBuf event) {
+        withdrawRepetition();
         exchange.sendChunk(event);
         if (!exchange.isWritable() && attempt != null) {
             attempt.setAutoRead(false);
@@ -404,9 +483,7 @@
 
     // The response that has begun or arrived is not given up for a retry that no server may get.
     private boolean hasServer() {
-        return engine.backendSelector()
-                .select(service, metadata, priority(), triedServers)
-                .isPresent();
+        return selectBest().isPresent();
     }
 
     private boolean mayRetry(String reason) {
@@ -414,17 +491,22 @@
     }
 
     private boolean mayRetry(String reason, Predicate<RetryBudget> takeRetry) {
-        boolean granted = sendCount < route.maxAttempts()
-                && timeLeftMillis() >= MIN_TIME_LEFT_MILLIS
-                && mayStillBeSent()
-                && takeRetry.test(engine.retryBudget(service));
+        boolean granted = isRetryAllowed() && takeRetry.test(engine.retryBudget(service));
+        logRetry(reason, granted);
+        return granted;
+    }
+
+    private boolean isRetryAllowed() {
+        return sendCount < route.maxAttempts() && timeLeftMillis() >= MIN_TIME_LEFT_MILLIS && mayStillBeSent();
+    }
+
+    private void logRetry(String reason, boolean granted) {
         engine.log().request("retry", metadata.attemptId().orElse(""), line -> line.with("reason", reason)
                 .with("backend_id", attempt.server().entry().id())
                 .with("sends", sendCount)
                 .with("send_limit", route.maxAttempts())
                 .with("time_left_ms", timeLeftMillis())
                 .with("outcome", granted ? "granted" : "denied"));
-        return granted;
     }
 
     private static boolean impliesNotExecuted(int status) {
--- a/standins/src/main/java/io/heatherloft/standins/platform/RunnerStandIn.java
+++ b/standins/src/main/java/io/heatherloft/standins/platform/RunnerStandIn.java
@@ -46,6 +46,7 @@
     private boolean leaving;
     private Optional<String> rest = Optional.empty();
     private final List<Runnable> heldResponses = new ArrayList<>();
+    private final List<Runnable> pausedStreams = new ArrayList<>();
     private boolean holding;
     private int keepAliveSeconds = 5;
     private int callerDisconnects;
@@ -80,6 +81,8 @@
         LOSE_ANSWER,
         /** Sends half of the events and part of the next one, then closes the connection. */
         BREAK_STREAM,
+        /** Sends half of the events, and the rest when streams are resumed. */
+        PAUSE_STREAM,
         /** Responds after 450 ms. */
         DELAY,
         /** Executes the request and never responds. */
@@ -133,6 +136,13 @@
         released.forEach(Runnable::run);
     }
 
+    /** Sends the rest of the streams that pause. */
+    public void resumeStreams() {
+        List<Runnable> resumed = List.copyOf(pausedStreams);
+        pausedStreams.clear();
+        resumed.forEach(Runnable::run);
+    }
+
     /** Sets the time for which the server says that it keeps idle connections open. */
     public void setKeepAliveSeconds(int seconds) {
         keepAliveSeconds = seconds;
@@ -293,7 +303,7 @@
                 headers.set(PlatformFixtures.SEAL_HEADER, id + ".seal");
                 if (request.headers().contains("X-Token-Count")) {
                     headers.set("X-Hint-Confidence", confidence);
-                    stream(request, exchange, headers, act == Act.BREAK_STREAM);
+                    stream(request, exchange, headers, act);
                 } else if (crashing.test(request)) {
                     loop.schedule(CRASH_DELAY_MILLIS, this::crash);
                 } else {
@@ -303,7 +313,7 @@
         }
     }
 
-    private void stream(CallerRequest request, CallerExchange exchange, HttpHeaders headers, boolean abort) {
+    private void stream(CallerRequest request, CallerExchange exchange, HttpHeaders headers, Act act) {
         headers.set("Content-Type", "text/event-stream");
         exchange.startStream(OK, headers);
         if (crashing.test(request)) {
@@ -312,12 +322,16 @@
             return;
         }
         int first = Integer.parseInt(request.headers().get("Last-Event-Id", "0")) + 1;
-        int last = abort ? eventsPerStream / 2 : eventsPerStream;
-        for (int event = first; event <= last; event++) {
-            String text = "id: " + event + "\ndata: token " + event + "\n\n";
-            exchange.sendChunk(Unpooled.copiedBuffer(text, StandardCharsets.UTF_8));
-        }
-        if (abort) {
+        boolean whole = act != Act.BREAK_STREAM && act != Act.PAUSE_STREAM;
+        int last = whole ? eventsPerStream : eventsPerStream / 2;
+        sendEvents(exchange, first, last);
+        if (act == Act.PAUSE_STREAM) {
+            pausedStreams.add(() -> {
+                sendEvents(exchange, last + 1, eventsPerStream);
+                exchange.endStream();
+                openExchanges.remove(exchange);
+            });
+        } else if (act == Act.BREAK_STREAM) {
             exchange.sendChunk(Unpooled.copiedBuffer("id: " + (last + 1) + "\nda", StandardCharsets.UTF_8));
             loop.schedule(20, exchange::abort);
         } else {
@@ -326,6 +340,13 @@
         }
     }
 
+    private static void sendEvents(CallerExchange exchange, int first, int last) {
+        for (int event = first; event <= last; event++) {
+            String text = "id: " + event + "\ndata: token " + event + "\n\n";
+            exchange.sendChunk(Unpooled.copiedBuffer(text, StandardCharsets.UTF_8));
+        }
+    }
+
     /** Returns true if the prompt of a request contains a part, other than as its last one. */
     public static boolean isPromptPart(String id, CallerRequest request) {
         String[] parts = request.headers().get("X-Prompt-Prefix", "").split(",", -1);
