A test of admission fills the slots for longer than a busy machine takes to fill them

ARequestBeyondTheSlots.is_refused_before_its_deadline_if_none_comes_free failed once beside other work (load 13 on 8 cores): filling the 64 slots took 1.25 s, the first of the requests in them reached the route's time-out of 2 s, and a waiting request was rightly sent to the slot that came free. These requests now last for 20 s, so none comes free during the test.

--- a/entry/src/test/java/io/heatherloft/entry/AdmissionHostTest.java
+++ b/entry/src/test/java/io/heatherloft/entry/AdmissionHostTest.java
@@ -20,6 +20,20 @@
 final class AdmissionHostTest {
     // The number of slots in the entries of the stand-ins.
     private static final int SLOTS = 64;
+    // Longer than a busy machine takes to fill the slots and the queue.
+    private static final int LONG_MILLIS = 20_000;
+
+    /** Returns a configuration whose plain requests may last for {@link #LONG_MILLIS}. */
+    private static String longConfiguration() {
+        return PlatformFixtures.configuration(2, EntryHostHarness.API_KEY)
+                .replace("\"timeout_ms\":2000", "\"timeout_ms\":" + LONG_MILLIS);
+    }
+
+    private static String booking(String id, int deadlineMillis) {
+        return EntryHostHarness.withConnectionClose(
+                PlatformFixtures.plainRequest("POST", "/bookings/x", id, EntryHostHarness.API_KEY)
+                        .replaceFirst("X-Deadline-Ms: [0-9]+", "X-Deadline-Ms: " + deadlineMillis));
+    }
 
     /** A request that comes while the slots of the only server are taken. */
     @Nested
@@ -31,6 +45,7 @@
             ExecutorService callers = Executors.newFixedThreadPool(SLOTS + LATER);
             try (EntryHostHarness harness = new EntryHostHarness()) {
                 harness.admissionControl = true;
+                harness.onLoop(() -> harness.store.put("op/config", longConfiguration()));
                 RunnerStandIn server = harness.startBackend("desk", "d1", "v1");
                 EntryHost host = harness.startReadyHost("h1", EntryHostHarness.freePort(), List.of());
                 harness.awaitBackendCount(host, 1);
@@ -40,14 +55,11 @@
                 });
                 IntStream.range(0, SLOTS)
                         .forEach(index -> callers.execute(
-                                () -> harness.sendPlainRequest(host, "POST", "/bookings/x", "a" + index)));
+                                () -> EntryHostHarness.exchange(host.callerPort(), booking("a" + index, LONG_MILLIS))));
                 harness.await(
                         () -> harness.get(host.metricsPort(), "/metrics").contains("requests_in_progress " + SLOTS));
                 List<CompletableFuture<String>> responses = IntStream.range(0, LATER)
-                        .mapToObj(index -> PlatformFixtures.plainRequest(
-                                        "POST", "/bookings/x", "b" + index, EntryHostHarness.API_KEY)
-                                .replaceFirst("X-Deadline-Ms: [0-9]+", "X-Deadline-Ms: " + deadlineMillis))
-                        .map(EntryHostHarness::withConnectionClose)
+                        .mapToObj(index -> booking("b" + index, deadlineMillis))
                         .map(request -> CompletableFuture.supplyAsync(
                                 () -> EntryHostHarness.exchange(host.callerPort(), request), callers))
                         .toList();
@@ -71,7 +83,7 @@
         // Guards against requests that wait until their deadline, and against a 504 for one that no server has seen.
         @Test
         void is_refused_before_its_deadline_if_none_comes_free() {
-            // The other requests occupy their slots for the 2 s of the route's time-out.
+            // The other requests occupy their slots for the 20 s of the route's time-out.
             send(Act.SILENCE, 800).forEach(response -> {
                 assertThat(response).startsWith("HTTP/1.1 503");
                 assertThat(response).contains("retry-after: 0.1");
