--- a/router/src/test/java/io/heatherloft/router/backend/BackendConnectionPoolTest.java
+++ b/router/src/test/java/io/heatherloft/router/backend/BackendConnectionPoolTest.java
@@ -325,7 +325,7 @@
                     .isEqualTo("BROKEN");
         }
 
-        // A server that closes a connection with unread bytes resets it.
+        // The system resets a connection that is closed with unread bytes, at times after an end in order.
         @Test
         void without_a_length_is_broken_when_its_connection_is_closed_during_the_upload() throws IOException {
             assertThat(upload(server((socket, _number) -> {
--- a/router/src/test/java/io/heatherloft/router/backend/RelayTest.java
+++ b/router/src/test/java/io/heatherloft/router/backend/RelayTest.java
@@ -283,7 +283,7 @@
             assertThat(upload()).isEqualTo("BROKEN refused false confirmed false");
         }
 
-        // A server that closes a connection with unread bytes resets it.
+        // The system resets a connection that is closed with unread bytes, at times after an end in order.
         @Test
         void whose_connection_is_closed_during_the_upload_is_not_complete() {
             endpoint = new BackendEndpoint("b", listen(this::respondEarly));
