A stop waits for all accepted requests, and ends each with a final response

Cause: the stop asked for the number of dispatched requests and ended the process 50 ms after it was 0. What the process then read was dispatched and dropped. Change: GracefulStop has the phases of the stop, StopPhases their times. It ends once the callers' server has no connection, or 250 ms before the end of the grace period. 700 ms before that end each open request gets a final response: 502 if a server runs it or may have, 503 with Retry-After (HOST_STOPPING) if none can have; requests that are still being read get 503; only streams that have begun are cut. From then on no request reaches the handler. Requests that are kept for the start are refused the same way. A second stop has no effect of its own. The engine keeps the deadlines of the stop (RequestEngine.beginStop) for the admission control. Not run: the whole of router and entry.

--- a/entry/src/main/java/io/heatherloft/entry/EntryHost.java
+++ b/entry/src/main/java/io/heatherloft/entry/EntryHost.java
@@ -58,12 +58,8 @@
     // they read; a change still reaches a host that hears nothing from others in a third of its deadline.
     private static final long WATCH_INTERVAL_MILLIS_PER_HOST = 15L;
     private static final int MIN_WATCHES_PER_CHANGE_DEADLINE = 3;
-    // The load balancer checks readiness every second and removes a host after two failed checks.
-    private static final long BALANCER_NOTICE_MILLIS = 2_500L;
-    // Requests still in progress this long before the end of the grace period are cut off, so that callers of streams
-    // can resume them at another host.
-    private static final long FORCED_CLOSE_MARGIN_MILLIS = 700L;
-    private static final long STOP_POLL_MILLIS = 50L;
+    // Time for the last calls of the stopped components.
+    private static final long PROCESS_END_DELAY_MILLIS = 50L;
     private static final long NANOS_PER_MILLI = 1_000_000L;
     // Share of the fleet's retry budget that hosts use. The rest covers requests in progress at the end of a window.
     private static final double RETRY_BUDGET_SHARE = 0.85;
@@ -82,7 +78,7 @@
     private final CrashRecorder crashRecorder;
     private final RequestEngine engine;
     private final CallerServer callerServer;
-    private final OpenRequestsReport openRequests;
+    private final GracefulStop gracefulStop;
     private final CallerServer readinessServer;
     private final CallerServer metricsServer;
     private final PeerTraffic peerTraffic = new PeerTraffic();
@@ -92,6 +88,7 @@
     private final BackendConnectionPool backendPool;
     private final RelayServer relayServer;
     private String relayAddress = "";
+    private final CompletableFuture<Void> stopped = new CompletableFuture<>();
     private boolean stopping;
 
     private EntryHost(
@@ -183,12 +180,17 @@
         metrics.gauge("store_era", () -> fleetView::storeEra);
         metrics.gauge("backend_servers_known", () -> () -> registry.all().size());
         metrics.gauge("hosts_known", () -> reports::hostCount);
-        metrics.gauge("requests_in_progress", () -> engine::inProgress);
         metrics.gauge("peer_bytes_sent", () -> peerTraffic::sentBytes);
         this.callerServer = new CallerServer(
                 group, loop, fleetView::limits, engine, status -> metrics.counter("requests_rejected_total." + status)
                         .inc());
-        this.openRequests = new OpenRequestsReport(loop, callerServer, log, metrics);
+        this.gracefulStop = new GracefulStop(
+                loop,
+                callerServer,
+                new OpenRequestsReport(loop, callerServer, log, metrics),
+                StopPhases.of(settings.gracePeriodMillis()),
+                engine::beginStop);
+        metrics.gauge("requests_in_progress", () -> engine::inProgress);
         metrics.gauge("caller_connections", () -> callerServer::connectionCount);
         metrics.gauge("caller_connection_errors", () -> callerServer::connectionErrors);
         this.readinessServer = new CallerServer(
@@ -336,44 +338,26 @@
     }
 
     /**
-     * Shuts down gracefully.
-     *
-     * <p>The host reports that it is not ready, keeps accepting connections until the load balancer has removed it, and
-     * then waits for requests in progress until shortly before the end of the grace period. May be called by any
-     * thread.
+     * Shuts down gracefully, in the phases of {@link GracefulStop}; a second call has no effect of its own. May be called by
+     * any thread.
      */
     CompletableFuture<Void> stop() {
-        CompletableFuture<Void> stopped = new CompletableFuture<>();
         loop.execute(() -> {
-            stopping = true;
-            gossip.announceStop();
-            long startMillis = loop.nowMillis();
-            openRequests.logEvent("stop");
-            loop.schedule(BALANCER_NOTICE_MILLIS / 2, callerServer::drain);
-            loop.schedule(BALANCER_NOTICE_MILLIS, () -> {
-                callerServer.stopAccepting();
-                callerServer.closeIdleConnections();
-                awaitRequests(startMillis, stopped);
-            });
+            if (!stopping) {
+                stopping = true;
+                gossip.announceStop();
+                gracefulStop.begin(this::stopServices);
+            }
         });
         return stopped;
     }
 
-    private void awaitRequests(long startMillis, CompletableFuture<Void> stopped) {
-        boolean deadlineReached =
-                loop.nowMillis() - startMillis >= settings.gracePeriodMillis() - FORCED_CLOSE_MARGIN_MILLIS;
-        if (engine.inProgress() > 0 && !deadlineReached) {
-            callerServer.closeIdleConnections();
-            loop.schedule(STOP_POLL_MILLIS, () -> awaitRequests(startMillis, stopped));
-            return;
-        }
-        openRequests.logEndedByStop();
-        openRequests.logEvent("stopped");
+    private void stopServices() {
         rollouts.stop();
         crashRecorder.stop();
         gossip.stop();
         peerNetwork.close();
         fleetView.stop();
-        loop.schedule(STOP_POLL_MILLIS, () -> stopped.complete(null));
+        loop.schedule(PROCESS_END_DELAY_MILLIS, () -> stopped.complete(null));
     }
 }
--- a/entry/src/main/java/io/heatherloft/entry/OpenRequestsReport.java
+++ b/entry/src/main/java/io/heatherloft/entry/OpenRequestsReport.java
@@ -9,6 +9,7 @@
 import java.util.EnumMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Predicate;
 import java.util.stream.Collectors;
 
 /**
@@ -25,6 +26,7 @@
     private final CallerServer callers;
     private final DecisionLog log;
     private final MetricRegistry metrics;
+    private long endedByStop;
 
     OpenRequestsReport(Loop loop, CallerServer callers, DecisionLog log, MetricRegistry metrics) {
         this.loop = loop;
@@ -41,14 +43,19 @@
     void logEvent(String event) {
         List<OpenRequest> open = callers.openRequests();
         log.lifecycle(event, line -> {
-            line.with("in_progress", open.size()).with("connections", callers.connectionCount());
+            line.with("in_progress", open.size())
+                    .with("connections", callers.connectionCount())
+                    .with("ended_by_stop", endedByStop);
             countByState(open).forEach((state, count) -> line.with(state.label(), count));
         });
     }
 
-    /** Counts the requests that are open, and logs each, because the stop is about to end them. */
-    void logEndedByStop() {
-        List<OpenRequest> open = callers.openRequests();
+    /** Counts and logs the open requests in some states, because the stop is about to end them. */
+    void logEndedByStop(Predicate<OpenRequest.State> states) {
+        List<OpenRequest> open = callers.openRequests().stream()
+                .filter(request -> states.test(request.state()))
+                .toList();
+        endedByStop += open.size();
         countByState(open).forEach((state, count) -> metrics.counter("requests_ended_by_stop_total." + state.label())
                 .inc(count));
         long now = loop.nowMillis();
--- a/entry/src/test/java/io/heatherloft/entry/EntryHostTest.java
+++ b/entry/src/test/java/io/heatherloft/entry/EntryHostTest.java
@@ -16,6 +16,7 @@
 import java.util.Collections;
 import java.util.HashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ForkJoinPool;
@@ -28,6 +29,9 @@
 import org.junit.jupiter.api.Test;
 
 final class EntryHostTest {
+    private static final int READ_TIMEOUT_MILLIS = 20_000;
+    private static final long SLOW_UPLOAD_PAUSE_MILLIS = 500L;
+
     private final EntryHostHarness harness = new EntryHostHarness();
 
     @AfterEach
@@ -518,5 +522,65 @@
                             responses.get(request.headers().get("X-Attempt-Id")).join())
                     .startsWith("HTTP/1.1 200"));
         }
+
+        // The process ended as soon as no request was dispatched, while requests were still being read (review/4).
+        @Test
+        void answers_a_request_whose_body_arrives_after_the_end_of_accepting() throws Exception {
+            RunnerStandIn server = harness.startBackend("llm", "i-1", "v1");
+            EntryHost host = startSingleHost();
+            harness.onLoop(() -> server.enqueueActs(Act.DELAY));
+            String request = PlatformFixtures.streamRequest("r1", EntryHostHarness.API_KEY)
+                    .replace("X-Deadline-Ms: 5000", "X-Deadline-Ms: 20000");
+            int readAtFirst = request.length() - 2;
+            try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), host.callerPort())) {
+                write(socket, request.substring(0, readAtFirst));
+                harness.await(() -> harness.get(host.metricsPort(), "/metrics").contains("caller_connections 1"));
+                CompletableFuture<Void> ended = host.stop().thenRun(host::shutdownNow);
+                harness.await(() -> harness.get(host.callerPort(), "/lookups/x").startsWith("connection failed"));
+                // A process that does not wait for the body is gone by then.
+                Thread.sleep(SLOW_UPLOAD_PAUSE_MILLIS);
+                write(socket, request.substring(readAtFirst));
+                String response = readAll(socket);
+                assertThat(response).startsWith("HTTP/1.1 200");
+                assertThat(eventIds(response)).isEqualTo(allEventIds());
+                assertThat(response).contains("connection: close");
+                ended.join();
+            }
+        }
+
+        // Requests without a response were cut at the end of the grace period, those that no server had run among them.
+        @Test
+        void ends_each_request_that_cannot_be_completed_with_a_final_response() throws IOException {
+            RunnerStandIn server = harness.startBackend("llm", "i-1", "v1");
+            harness.onLoop(() -> server.setHolding(true));
+            EntryHost host = startSingleHost();
+            String sent = PlatformFixtures.streamRequest("r1", EntryHostHarness.API_KEY)
+                    .replace("X-Deadline-Ms: 5000", "X-Deadline-Ms: 20000");
+            String incomplete = PlatformFixtures.streamRequest("r2", EntryHostHarness.API_KEY)
+                    .replace("Content-Length: 5", "Content-Length: 9");
+            try (Socket first = new Socket(InetAddress.getLoopbackAddress(), host.callerPort());
+                    Socket second = new Socket(InetAddress.getLoopbackAddress(), host.callerPort())) {
+                write(first, sent);
+                write(second, incomplete);
+                harness.await(() -> !received(server).isEmpty());
+                CompletableFuture<Void> ended = host.stop().thenRun(host::shutdownNow);
+                CompletableFuture<Void> endedTwice = host.stop();
+                assertThat(readAll(first)).startsWith("HTTP/1.1 502");
+                String refusal = readAll(second);
+                assertThat(refusal).startsWith("HTTP/1.1 503");
+                assertThat(refusal.toLowerCase(Locale.ROOT)).contains("retry-after: 0.1");
+                ended.join();
+                endedTwice.join();
+            }
+        }
+
+        private static void write(Socket socket, String text) throws IOException {
+            socket.getOutputStream().write(text.getBytes(StandardCharsets.UTF_8));
+        }
+
+        private static String readAll(Socket socket) throws IOException {
+            socket.setSoTimeout(READ_TIMEOUT_MILLIS);
+            return new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+        }
     }
 }
--- a/router/src/main/java/io/heatherloft/router/http/CallerConnection.java
+++ b/router/src/main/java/io/heatherloft/router/http/CallerConnection.java
@@ -44,6 +44,8 @@
     private static final int MAX_PIPELINED_REQUESTS = 8;
     // Time for a caller to read the last response before the connection is closed completely (lingering close).
     private static final long LINGER_MILLIS = 1_000L;
+    // A request that a host refuses because it ends can be sent to another host at once.
+    private static final String RETRY_AFTER_END_SECONDS = "0.1";
 
     private final Loop loop;
     private final CallerServer server;
@@ -78,6 +80,17 @@
         }
     }
 
+    /** Ends the requests of this connection, because the host ends. */
+    void endRequests() {
+        if (activeResponse != null) {
+            activeResponse.onHostStopping();
+        }
+        // A queued request is refused when its turn comes.
+        if (activeResponse == null && pipelined.isEmpty() && firstByteAtMillis >= 0 && !closing) {
+            reject(HttpResponseStatus.SERVICE_UNAVAILABLE);
+        }
+    }
+
     /** Returns the requests of this connection that have no complete response in the caller's socket. */
     Stream<OpenRequest> openRequests() {
         List<OpenRequest> open = new ArrayList<>();
@@ -206,7 +219,19 @@
         timer.cancel();
         activeResponse = new ResponseWriter(this, channel, server, request.arrivedAtMillis(), isKeepAlive(request));
         lastArrivedAtMillis = request.arrivedAtMillis();
-        server.handler().onRequest(request, activeResponse);
+        if (server.isEnding()) {
+            server.onRejected(HttpResponseStatus.SERVICE_UNAVAILABLE.code());
+            activeResponse.sendResponse(
+                    HttpResponseStatus.SERVICE_UNAVAILABLE.code(),
+                    retryLater(new DefaultHttpHeaders()),
+                    Unpooled.EMPTY_BUFFER);
+        } else {
+            server.handler().onRequest(request, activeResponse);
+        }
+    }
+
+    private static HttpHeaders retryLater(HttpHeaders headers) {
+        return headers.set(HttpHeaderNames.RETRY_AFTER, RETRY_AFTER_END_SECONDS);
     }
 
     /** Called when a response has been written completely. */
@@ -248,6 +273,9 @@
         HttpHeaders headers = new DefaultHttpHeaders();
         headers.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
         headers.set(HttpHeaderNames.CONTENT_LENGTH, 0);
+        if (status.equals(HttpResponseStatus.SERVICE_UNAVAILABLE)) {
+            retryLater(headers);
+        }
         closing = true;
         write(new DefaultFullHttpResponse(
                 HttpVersion.HTTP_1_1, status, Unpooled.EMPTY_BUFFER, headers, EmptyHttpHeaders.INSTANCE));
--- a/router/src/main/java/io/heatherloft/router/http/CallerExchange.java
+++ b/router/src/main/java/io/heatherloft/router/http/CallerExchange.java
@@ -42,6 +42,9 @@
         /** Called when {@link CallerExchange#isWritable} has changed. */
         void onWritabilityChanged();
 
+        /** Called when the host ends: the request must get its final response now, or be aborted if that has begun. */
+        default void onHostStopping() {}
+
         /** Describes the request, for logs and metrics. */
         default OpenRequest describe(long arrivedAtMillis) {
             return OpenRequest.of(OpenRequest.State.WAITING, arrivedAtMillis);
--- a/router/src/main/java/io/heatherloft/router/http/CallerServer.java
+++ b/router/src/main/java/io/heatherloft/router/http/CallerServer.java
@@ -44,6 +44,7 @@
     private final Set<CallerConnection> connections = Collections.newSetFromMap(new IdentityHashMap<>());
     private Channel serverChannel;
     private boolean draining;
+    private boolean ending;
     private long connectionErrors;
 
     /**
@@ -116,6 +117,16 @@
         List.copyOf(connections).forEach(CallerConnection::closeIfIdle);
     }
 
+    /**
+     * Ends all open requests: those that are handled get their final response from their handlers, those that are still being
+     * read and those that follow are refused. From now on, no request reaches the handler.
+     */
+    public void endRequests() {
+        draining = true;
+        ending = true;
+        List.copyOf(connections).forEach(CallerConnection::endRequests);
+    }
+
     /** Stops accepting connections. */
     public void stopAccepting() {
         if (serverChannel != null) {
@@ -142,6 +153,10 @@
         return draining;
     }
 
+    boolean isEnding() {
+        return ending;
+    }
+
     CallerLimits limits() {
         return limits.get();
     }
--- a/router/src/main/java/io/heatherloft/router/http/ResponseWriter.java
+++ b/router/src/main/java/io/heatherloft/router/http/ResponseWriter.java
@@ -57,6 +57,10 @@
         return listener.describe(arrivedAtMillis);
     }
 
+    void onHostStopping() {
+        listener.onHostStopping();
+    }
+
     void onWritabilityChanged() {
         listener.onWritabilityChanged();
     }
--- a/router/src/main/java/io/heatherloft/router/request/RefusalReason.java
+++ b/router/src/main/java/io/heatherloft/router/request/RefusalReason.java
@@ -33,6 +33,8 @@
     CRASHES_SERVERS(503, 300),
     /** The request is blocked because backend servers crashed on a part of its prompt. */
     CRASHING_PROMPT(503, 300),
+    /** The host ends, and no backend server can have executed the request. */
+    HOST_STOPPING(503, 0.1),
     /** The deadline passed before the request was sent to a backend server. */
     EXPIRED_UNSENT(503, 0.2),
     /** The deadline passed after the request was sent to a backend server. */
--- a/router/src/main/java/io/heatherloft/router/request/RequestEngine.java
+++ b/router/src/main/java/io/heatherloft/router/request/RequestEngine.java
@@ -1,6 +1,7 @@
 package io.heatherloft.router.request;
 
 import com.codahale.metrics.MetricRegistry;
+import io.heatherloft.domain.admission.StopDeadlines;
 import io.heatherloft.domain.route.KeyHolder;
 import io.heatherloft.domain.route.Route;
 import io.heatherloft.domain.route.RoutingConfiguration;
@@ -47,6 +48,7 @@
     private final ColdServerGuard coldServers;
     private final Optional<AdmissionControl> admissionControl;
     private final ResponseBuffers responseBuffers = new ResponseBuffers();
+    private StopDeadlines stopDeadlines = StopDeadlines.NONE;
     private int inProgress;
 
     /** Creates an engine. */
@@ -85,7 +87,7 @@
     public void onRequest(CallerRequest request, CallerExchange exchange) {
         boolean starting = !fleetView.isComplete() && loop.nowMillis() - createdAtMillis < STARTUP_WAIT_MILLIS;
         if (starting && !exchange.hasEnded()) {
-            exchange.setListener(new KeptRequest(request));
+            exchange.setListener(new KeptRequest(request, exchange));
             loop.schedule(STARTUP_POLL_MILLIS, () -> onRequest(request, exchange));
         } else if (!exchange.hasEnded()) {
             admit(request, exchange);
@@ -118,11 +120,25 @@
         new RequestExecution(this, request, exchange, metadata, route.get(), keyHolder).start();
     }
 
-    /** Returns the number of requests in progress. */
+    /** Returns the number of admitted requests that have no complete response; for metrics. */
     public int inProgress() {
         return inProgress;
     }
 
+    void onRequestEnded() {
+        inProgress--;
+    }
+
+    /** Begins the stop of the host; requests continue to be handled until the callers' server ends them. */
+    public void beginStop(StopDeadlines deadlines) {
+        stopDeadlines = deadlines;
+    }
+
+    /** Returns the deadlines of the host's stop, or {@link StopDeadlines#NONE} before it. */
+    StopDeadlines stopDeadlines() {
+        return stopDeadlines;
+    }
+
     private void refuse(CallerExchange exchange, RequestMetadata metadata, RefusalReason reason) {
         metrics.counter("requests_refused_total." + reason.name()).inc();
         log.request("refused", metadata.attemptId().orElse("none"), line -> line.with("reason", reason.name())
@@ -134,12 +150,14 @@
         LocalReply.send(exchange, headerCodec.localReplyHeaders(metadata), reason, reason.retryAfterSeconds());
     }
 
-    /** Describes a request that is kept while the host starts. Confined to the loop's thread. */
+    /** The caller's side of a request that is kept while the host starts. Confined to the loop's thread. */
     private final class KeptRequest implements CallerExchange.Listener {
         private final CallerRequest request;
+        private final CallerExchange exchange;
 
-        KeptRequest(CallerRequest request) {
+        KeptRequest(CallerRequest request, CallerExchange exchange) {
             this.request = request;
+            this.exchange = exchange;
         }
 
         @Override
@@ -150,6 +168,11 @@
         @Override
         public void onWritabilityChanged() {}
 
+        @Override
+        public void onHostStopping() {
+            refuse(exchange, headerCodec.readRequest(request.headers()), RefusalReason.HOST_STOPPING);
+        }
+
         @Override
         public OpenRequest describe(long arrivedAtMillis) {
             return new OpenRequest(
@@ -160,10 +183,6 @@
         }
     }
 
-    void onRequestEnded() {
-        inProgress--;
-    }
-
     RetryBudget retryBudget(String service) {
         return retryBudgets.of(service);
     }
--- a/router/src/main/java/io/heatherloft/router/request/RequestExecution.java
+++ b/router/src/main/java/io/heatherloft/router/request/RequestExecution.java
@@ -464,6 +464,12 @@
         }
     }
 
+    @Override
+    public void onHostStopping() {
+        boolean sent = attempt != null && attempt.isInProgress();
+        fail(sent ? RefusalReason.ANSWER_LOST : RefusalReason.HOST_STOPPING);
+    }
+
     @Override
     public OpenRequest describe(long arrivedAtMillis) {
         Optional<OpenRequest.Sent> sent = Optional.ofNullable(attempt)
