--- a/router/src/main/java/io/heatherloft/router/request/RequestEngine.java
+++ b/router/src/main/java/io/heatherloft/router/request/RequestEngine.java
@@ -87,7 +87,7 @@
     public void onRequest(CallerRequest request, CallerExchange exchange) {
         boolean starting = !fleetView.isComplete() && loop.nowMillis() - createdAtMillis < STARTUP_WAIT_MILLIS;
         if (starting && !exchange.hasEnded()) {
-            exchange.setListener(new KeptRequest(request));
+            exchange.setListener(new KeptRequest(request, exchange));
             loop.schedule(STARTUP_POLL_MILLIS, () -> onRequest(request, exchange));
         } else if (!exchange.hasEnded()) {
             admit(request, exchange);
@@ -120,19 +120,23 @@
         new RequestExecution(this, request, exchange, metadata, route.get(), keyHolder).start();
     }
 
-    /** Returns the number of requests in progress. */
+    /** Returns the number of admitted requests that have no complete response; for metrics. */
     public int inProgress() {
         return inProgress;
     }
 
-    /** Called when the host has begun to stop. */
+    void onRequestEnded() {
+        inProgress--;
+    }
+
+    /** Begins the stop of the host; requests continue to be handled until the callers' server ends them. */
     public void beginStop(StopDeadlines deadlines) {
         stopDeadlines = deadlines;
         admissionControl.ifPresent(admission -> admission.beginStop(deadlines));
     }
 
-    /** Returns the deadlines of the host's stop; {@link StopDeadlines#NONE} before it. */
-    public StopDeadlines stopDeadlines() {
+    /** Returns the deadlines of the host's stop, or {@link StopDeadlines#NONE} before it. */
+    StopDeadlines stopDeadlines() {
         return stopDeadlines;
     }
 
@@ -147,12 +151,14 @@
         LocalReply.send(exchange, headerCodec.localReplyHeaders(metadata), reason, reason.retryAfterSeconds());
     }
 
-    /** Describes a request that is kept while the host starts. Confined to the loop's thread. */
+    /** The caller's side of a request that is kept while the host starts. Confined to the loop's thread. */
     private final class KeptRequest implements CallerExchange.Listener {
         private final CallerRequest request;
+        private final CallerExchange exchange;
 
-        KeptRequest(CallerRequest request) {
+        KeptRequest(CallerRequest request, CallerExchange exchange) {
             this.request = request;
+            this.exchange = exchange;
         }
 
         @Override
@@ -163,6 +169,11 @@
         @Override
         public void onWritabilityChanged() {}
 
+        @Override
+        public void onHostStopping() {
+            refuse(exchange, headerCodec.readRequest(request.headers()), RefusalReason.HOST_STOPPING);
+        }
+
         @Override
         public OpenRequest describe(long arrivedAtMillis) {
             return new OpenRequest(
@@ -173,10 +184,6 @@
         }
     }
 
-    void onRequestEnded() {
-        inProgress--;
-    }
-
     RetryBudget retryBudget(String service) {
         return retryBudgets.of(service);
     }
