The stop of a host that still starts counts from the signal

What callers saw: nothing yet; found in review, and shown by calculation only. A host that gets SIGTERM while it starts completes its start first, and the phases of the stop then counted from there. After a start of more than 0.7 s the end of requests lay behind the SIGKILL, so requests that were read meanwhile ended without an answer (LOST), and after 0.5 s requests were sent later than the rule excuses. Cause: GracefulStop took the time at which it began for the time of the request to stop. Change: the shutdown hook notes the time of the signal; StopPhases.after leaves what remains of each phase. The margin before the end of the grace period is a sixth of it at most, since the rule excuses cuts in the last sixth only. A fault in one phase no longer keeps the process until it is killed.

--- a/entry/src/main/java/io/heatherloft/entry/EntryHost.java
+++ b/entry/src/main/java/io/heatherloft/entry/EntryHost.java
@@ -185,11 +185,7 @@
                 group, loop, fleetView::limits, engine, status -> metrics.counter("requests_rejected_total." + status)
                         .inc());
         this.gracefulStop = new GracefulStop(
-                loop,
-                callerServer,
-                new OpenRequestsReport(loop, callerServer, log, metrics),
-                StopPhases.of(settings.gracePeriodMillis()),
-                engine::beginStop);
+                loop, callerServer, new OpenRequestsReport(loop, callerServer, log, metrics), engine::beginStop);
         metrics.gauge("requests_in_progress", () -> engine::inProgress);
         metrics.gauge("caller_connections", () -> callerServer::connectionCount);
         metrics.gauge("caller_connection_errors", () -> callerServer::connectionErrors);
@@ -340,18 +336,26 @@
     /**
      * Shuts down gracefully, in the phases of {@link GracefulStop}; a second call has no effect of its own. May be called by
      * any thread.
+     *
+     * @param elapsedMillis time since the stop was requested, which is a part of the grace period
      */
-    CompletableFuture<Void> stop() {
+    CompletableFuture<Void> stop(long elapsedMillis) {
         loop.execute(() -> {
             if (!stopping) {
                 stopping = true;
                 gossip.announceStop();
-                gracefulStop.begin(this::stopServices);
+                gracefulStop.begin(
+                        StopPhases.of(settings.gracePeriodMillis()).after(elapsedMillis), this::stopServices);
             }
         });
         return stopped;
     }
 
+    /** Shuts down gracefully, as above, because of a request that was made just now. */
+    CompletableFuture<Void> stop() {
+        return stop(0);
+    }
+
     private void stopServices() {
         rollouts.stop();
         crashRecorder.stop();
--- a/entry/src/main/java/io/heatherloft/entry/EntryMain.java
+++ b/entry/src/main/java/io/heatherloft/entry/EntryMain.java
@@ -13,6 +13,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
 
 /**
@@ -84,16 +85,20 @@
 
     /**
      * Stops the host when the process receives SIGTERM. A host that is still starting may have read requests already, so its
-     * start is completed first.
+     * start is completed first, within the same grace period.
      */
     @SuppressWarnings("ShutdownHook") // The host is the whole process; no container manages its lifecycle.
     private static void stopOnSignal() {
-        Runtime.getRuntime().addShutdownHook(new Thread(() -> STARTED.join().ifPresent(host -> {
-            host.stop().join();
-            host.flushLog();
-            // Without the halt, the process would exit with the signal's exit code after a graceful shutdown.
-            Runtime.getRuntime().halt(0);
-        })));
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> {
+            long requestedAtNanos = System.nanoTime();
+            STARTED.join().ifPresent(host -> {
+                host.stop(TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - requestedAtNanos))
+                        .join();
+                host.flushLog();
+                // Without the halt, the process would exit with the signal's exit code after a graceful shutdown.
+                Runtime.getRuntime().halt(0);
+            });
+        }));
     }
 
     private static void serve(PlatformSettings settings, LineQueue logQueue, EarlyListener earlyListener)
--- a/entry/src/main/java/io/heatherloft/entry/GracefulStop.java
+++ b/entry/src/main/java/io/heatherloft/entry/GracefulStop.java
@@ -21,30 +21,24 @@
     private final Loop loop;
     private final CallerServer callers;
     private final OpenRequestsReport report;
-    private final StopPhases phases;
     private final Consumer<StopDeadlines> beginListener;
     private boolean requestsEnded;
+    private boolean ended;
 
     /**
      * Creates a stop that has not begun.
      *
      * @param beginListener receives the deadlines when the stop begins
      */
-    GracefulStop(
-            Loop loop,
-            CallerServer callers,
-            OpenRequestsReport report,
-            StopPhases phases,
-            Consumer<StopDeadlines> beginListener) {
+    GracefulStop(Loop loop, CallerServer callers, OpenRequestsReport report, Consumer<StopDeadlines> beginListener) {
         this.loop = loop;
         this.callers = callers;
         this.report = report;
-        this.phases = phases;
         this.beginListener = beginListener;
     }
 
     /** Begins the stop; must be called once. */
-    void begin(Runnable endListener) {
+    void begin(StopPhases phases, Runnable endListener) {
         long startMillis = loop.nowMillis();
         report.logEvent("stop");
         beginListener.accept(
@@ -52,11 +46,13 @@
         loop.schedule(phases.lastResponseMillis(), callers::drain);
         loop.schedule(phases.acceptEndMillis(), () -> {
             callers.stopAccepting();
-            awaitCallers(startMillis, endListener);
+            awaitCallers(startMillis, phases, endListener);
         });
+        // A fault in one of the phases must not keep the process until it is killed.
+        loop.schedule(phases.outputEndMillis() + POLL_MILLIS, () -> end(endListener));
     }
 
-    private void awaitCallers(long startMillis, Runnable endListener) {
+    private void awaitCallers(long startMillis, StopPhases phases, Runnable endListener) {
         long elapsedMillis = loop.nowMillis() - startMillis;
         if (elapsedMillis >= phases.requestEndMillis() && !requestsEnded) {
             requestsEnded = true;
@@ -65,12 +61,19 @@
         }
         callers.closeIdleConnections();
         if (callers.connectionCount() > 0 && elapsedMillis < phases.outputEndMillis()) {
-            loop.schedule(POLL_MILLIS, () -> awaitCallers(startMillis, endListener));
+            loop.schedule(POLL_MILLIS, () -> awaitCallers(startMillis, phases, endListener));
             return;
         }
         report.logEndedByStop(_state -> true);
         callers.endRequests();
-        report.logEvent("stopped");
-        endListener.run();
+        end(endListener);
+    }
+
+    private void end(Runnable endListener) {
+        if (!ended) {
+            ended = true;
+            report.logEvent("stopped");
+            endListener.run();
+        }
     }
 }
--- a/entry/src/main/java/io/heatherloft/entry/StopPhases.java
+++ b/entry/src/main/java/io/heatherloft/entry/StopPhases.java
@@ -14,18 +14,30 @@
     // The load balancer checks readiness every second and removes a host after two failed checks.
     private static final long BALANCER_NOTICE_MILLIS = 2_500L;
     // Time for callers of streams to resume them at another host, and for the output of final responses.
-    private static final long REQUEST_END_MARGIN_MILLIS = 700L;
-    // Time for the end of the process.
-    private static final long OUTPUT_END_MARGIN_MILLIS = 250L;
+    private static final long MAX_REQUEST_END_MARGIN_MILLIS = 700L;
+    // Streams that have begun are cut late in the grace period only.
+    private static final long GRACE_PER_REQUEST_END_MARGIN = 6L;
+    // Part of the margin that is left for the end of the process.
+    private static final double PROCESS_END_SHARE = 0.36;
 
     /** Returns the phases for a grace period, after which the process is killed. */
     static StopPhases of(long gracePeriodMillis) {
-        long requestEndMillis = Math.max(0, gracePeriodMillis - REQUEST_END_MARGIN_MILLIS);
+        long marginMillis = Math.min(MAX_REQUEST_END_MARGIN_MILLIS, gracePeriodMillis / GRACE_PER_REQUEST_END_MARGIN);
+        long requestEndMillis = gracePeriodMillis - marginMillis;
         long acceptEndMillis = Math.min(BALANCER_NOTICE_MILLIS, requestEndMillis);
         return new StopPhases(
                 acceptEndMillis / 2,
                 acceptEndMillis,
                 requestEndMillis,
-                Math.max(requestEndMillis, gracePeriodMillis - OUTPUT_END_MARGIN_MILLIS));
+                gracePeriodMillis - (long) (PROCESS_END_SHARE * marginMillis));
+    }
+
+    /** Returns the phases that remain of a stop that was requested some time ago. */
+    StopPhases after(long elapsedMillis) {
+        return new StopPhases(
+                Math.max(0, lastResponseMillis - elapsedMillis),
+                Math.max(0, acceptEndMillis - elapsedMillis),
+                Math.max(0, requestEndMillis - elapsedMillis),
+                Math.max(0, outputEndMillis - elapsedMillis));
     }
 }
