A response that has begun is not broken off because servers reject the rest of it

What callers saw: found in review, shown by a test. A stream moved away from a silent server was broken off when the next servers rejected it or could not be reached, although no server had broken off: rejections used up its sends, and a spent retry budget ended it at once. Cause: make before break ended at the send; what followed treated the request like one without a response. Change: for a response that has begun, a rejection does not use up a send (no server has run it), and a spent budget or too many failed connections are waited out until the deadline or the last send of a stop. Each send still takes a token. Evidence: AStreamThatMoves.goes_on_although_more_servers_reject_it_than_it_has_sends failed before (one run: the stream ended after event 4, 'expected to end with' its last chunk) and passes. AdmissionHostTest (12) and StalledStreamTest (2) pass.

--- a/router/src/main/java/io/heatherloft/router/request/AdmissionControl.java
+++ b/router/src/main/java/io/heatherloft/router/request/AdmissionControl.java
@@ -508,10 +508,11 @@
             boolean reserved = service.reserved
                     .filter(reservation -> reservation.request().equals(request))
                     .isPresent();
-            Predicate<BackendServerState> untried = server -> version.isOf(server) && !execution.hasTried(server);
+            Predicate<BackendServerState> allowed = server -> version.isOf(server) && !execution.isLeaving(server);
+            Predicate<BackendServerState> untried = server -> allowed.test(server) && !execution.hasTried(server);
             List<BackendServerState> servers = known.withCapacity(request.tokens(), reserved, untried);
             if (servers.isEmpty()) {
-                servers = known.withCapacity(request.tokens(), reserved, version::isOf);
+                servers = known.withCapacity(request.tokens(), reserved, allowed);
             }
             Optional<AttemptBackendSelector.Selection> selection =
                     selector.selectAmong(servers, execution.metadata(), version);
--- a/router/src/main/java/io/heatherloft/router/request/Attempt.java
+++ b/router/src/main/java/io/heatherloft/router/request/Attempt.java
@@ -175,9 +175,8 @@
                 });
     }
 
-    /** Cancels the attempt because its server has been inactive for too long. */
-    void giveUp() {
-        cancel();
+    /** Records that the server has been inactive for too long; the attempt goes on. */
+    void recordSilence() {
         server.health().recordFailure(execution.engine().loop().nowMillis());
         execution.engine().connectionPool().closeIdle(server.entry().id());
     }
--- a/router/src/main/java/io/heatherloft/router/request/RequestExecution.java
+++ b/router/src/main/java/io/heatherloft/router/request/RequestExecution.java
@@ -31,6 +31,10 @@
     private static final long MIN_TIME_LEFT_MILLIS = 5L;
     // Failed connections tolerated per request. They don't count as sends, since no byte of the request was sent.
     private static final int MAX_CONNECT_FAILURES = 3;
+    // Delay before a response that has begun is repeated after more failed connections than that.
+    private static final long CONNECT_RETRY_MILLIS = 250L;
+    // The retry budget of a service gains tokens with each request, so it is checked often.
+    private static final long BUDGET_CHECK_MILLIS = 100L;
     // Deadline for callers that state none; they are assumed to have given up by then.
     private static final long DEFAULT_DEADLINE_MILLIS = 30_000L;
 
@@ -173,6 +177,12 @@
         }
     }
 
+    private void dispatchUnlessEnded() {
+        if (!ended) {
+            dispatch();
+        }
+    }
+
     /** Returns true if the caller has begun to read the response. */
     boolean hasBegun() {
         return streamStarted;
@@ -245,12 +255,12 @@
         }
         Attempt replaced = replaceable.get();
         replaceable = Optional.empty();
-        if (blocked.isPresent() || !hasServer() || !mayRetry(SILENCE)) {
+        if (blocked.isPresent() || !hasServerOtherThan(replaced.server()) || !mayRetry(SILENCE)) {
             return false;
         }
         mayHaveExecuted = true;
         relay.discardPartialEvent();
-        replaced.giveUp();
+        replaced.cancel();
         return true;
     }
 
@@ -354,8 +364,15 @@
         if (isCurrent(ending)) {
             withdrawRepetition();
             triedServers.add(ending.server().entry());
+            if (streamStarted) {
+                // The caller's response is lost if no server accepts the rest of it, so rejections do not use up the
+                // sends.
+                sendCount--;
+            }
             if (mayRetry(reason)) {
                 dispatch();
+            } else if (streamStarted && isRetryAllowed()) {
+                repeatOnceInBudget(reason);
             } else if (mayStillBeSent()) {
                 fail(RefusalReason.NOT_ACCEPTED);
             } else {
@@ -364,6 +381,22 @@
         }
     }
 
+    // For a response that has begun: waits for a token of the retry budget until the deadline.
+    private void repeatOnceInBudget(String reason) {
+        engine.loop().schedule(BUDGET_CHECK_MILLIS, () -> {
+            if (ended) {
+                return;
+            }
+            if (!mayStillBeSent()) {
+                refuseForStop();
+            } else if (engine.retryBudget(service).isAvailable() && mayRetry(reason)) {
+                dispatch();
+            } else {
+                repeatOnceInBudget(reason);
+            }
+        });
+    }
+
     /** Called when the attempt has ended without a complete response. */
     void onFailure(Attempt ending, ExchangeFailure failure) {
         if (!isCurrent(ending)) {
@@ -377,6 +410,8 @@
             connectFailures++;
             if (connectFailures <= MAX_CONNECT_FAILURES) {
                 dispatch();
+            } else if (streamStarted && isRetryAllowed()) {
+                engine.loop().schedule(CONNECT_RETRY_MILLIS, this::dispatchUnlessEnded);
             } else {
                 fail(RefusalReason.NOT_ACCEPTED);
             }
@@ -402,17 +437,21 @@
         if (!isCurrent(inactive)) {
             return false;
         }
-        if (replaceable.isPresent()
-                || !hasServer()
-                || crashGuard.reasonToBlock().isPresent()) {
+        if (replaceable.isPresent()) {
+            return true;
+        }
+        triedServers.add(inactive.server().entry());
+        // With admission control the repetition waits for another server.
+        boolean hasServer = engine.admissionControl().isPresent() ? hasServer() : hasServerOtherThan(inactive.server());
+        if (!hasServer || crashGuard.reasonToBlock().isPresent()) {
             return true;
         }
         if (!isRetryAllowed() || !engine.retryBudget(service).isAvailable()) {
             logRetry(SILENCE, false);
             return false;
         }
-        triedServers.add(inactive.server().entry());
         replaceable = Optional.of(inactive);
+        inactive.recordSilence();
         if (engine.admissionControl().isPresent()) {
             engine.admissionControl().get().request(this);
         } else if (beginSend(false)) {
@@ -487,6 +526,18 @@
         return selectBest().isPresent();
     }
 
+    // Tried servers are selected only if there is no other.
+    private boolean hasServerOtherThan(BackendServerState server) {
+        return selectBest()
+                .filter(selection -> !selection.server().equals(server))
+                .isPresent();
+    }
+
+    /** Returns true if the request waits to be moved away from a server. */
+    boolean isLeaving(BackendServerState server) {
+        return replaceable.filter(inactive -> inactive.server().equals(server)).isPresent();
+    }
+
     private boolean mayRetry(String reason) {
         return mayRetry(reason, RetryBudget::tryAcquire);
     }
