Test of signals during the start: its hosts have an address of their own

Shown: with another process listening at 127.0.0.1:9464 both tests failed in the same way (one run); with the change both pass beside it (one run). Change: the hosts of this test listen at a loopback address that depends on the test's process. What is checked is the same.

--- a/soak/src/test/java/io/heatherloft/soak/StartSignalTest.java
+++ b/soak/src/test/java/io/heatherloft/soak/StartSignalTest.java
@@ -21,16 +21,24 @@
     @TempDir
     private Path directory;
 
+    // An entry host's port for metrics is fixed, so hosts of other processes must not share its address.
+    private static final String ADDRESS =
+            loopbackAddress(ProcessHandle.current().pid());
+
+    private static String loopbackAddress(long pid) {
+        return "127." + (1 + pid % 254) + '.' + pid / 254 % 256 + ".3";
+    }
+
     private static int freePort() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName(ADDRESS))) {
             return socket.getLocalPort();
         }
     }
 
     private HostProcess startUntilItListens(String name) throws IOException, InterruptedException {
-        String callers = "127.0.0.1:" + freePort();
+        String callers = ADDRESS + ":" + freePort();
         String settings = PlatformFixtures.hostSettings(
-                0, "127.0.0.1", callers, "127.0.0.1:" + freePort(), List.of("127.0.0.1:" + freePort()), 8, freePort());
+                0, ADDRESS, callers, ADDRESS + ":" + freePort(), List.of(ADDRESS + ":" + freePort()), 8, freePort());
         HostProcess host =
                 new HostProcess(directory, name, callers, settings, List.of(System.getProperty("java.class.path")));
         host.start();
