--- a/entry/src/test/java/io/heatherloft/entry/AdmissionHostTest.java
+++ b/entry/src/test/java/io/heatherloft/entry/AdmissionHostTest.java
@@ -277,8 +277,7 @@
         }
 
         // Guards against a stream that is cancelled because its server pauses, and then broken off because the slot
-        // that it
-        // gave up goes to others.
+        // that it gave up goes to others.
         @Test
         void keeps_its_stream_while_the_server_pauses() {
             CompletableFuture<String> response = sendAmongUrgent(Act.PAUSE_STREAM, Act.SILENCE, stream(9_000));
--- a/router/src/main/java/io/heatherloft/router/http/CallerConnection.java
+++ b/router/src/main/java/io/heatherloft/router/http/CallerConnection.java
@@ -251,9 +251,8 @@
         if (pipelined.isEmpty()) {
             startIdleTimer();
         } else {
-            // A separate loop task bounds the stack depth when pipelined requests get immediate responses. The request
-            // stays
-            // queued until then, so that none that arrives meanwhile overtakes it.
+            // A separate loop task bounds the stack depth when pipelined requests get immediate responses. The
+            // request stays queued until then, so that none that arrives meanwhile overtakes it.
             loop.execute(this::startNextRequest);
         }
     }
--- a/router/src/test/java/io/heatherloft/router/http/CallerServerTest.java
+++ b/router/src/test/java/io/heatherloft/router/http/CallerServerTest.java
@@ -229,9 +229,8 @@
 
     @Nested
     final class APipelinedRequest {
-        // A request that arrived between the end of a response and the start of the next request overtook that request,
-        // which
-        // was dropped (review/2).
+        // A request that arrived between the end of a response and the start of the next request overtook that
+        // request, which was dropped (review/2).
         @Test
         void is_not_overtaken_by_one_that_arrives_while_it_is_started() throws IOException {
             Loop slowToExecute = new Loop() {
