--- a/review/common-3/src/Main.java
+++ b/review/common-3/src/Main.java
@@ -15,7 +15,8 @@
         Map<String, Case> cases = Map.of(
                 "SilentStore", new SilentStore()::run,
                 "DeafHost", new DeafHost()::run,
-                "StaleWatch", new StaleWatch()::run);
+                "StaleWatch", new StaleWatch()::run,
+                "RepeatedStream", new RepeatedStream()::run);
         int code = COULD_NOT_RUN;
         try {
             code = cases.get(arguments[0]).run(new String[] {arguments[1], arguments[2]});
