--- a/review/common-3/src/Main.java
+++ b/review/common-3/src/Main.java
@@ -16,7 +16,8 @@
                 "SilentStore", new SilentStore()::run,
                 "DeafHost", new DeafHost()::run,
                 "StaleWatch", new StaleWatch()::run,
-                "RepeatedStream", new RepeatedStream()::run);
+                "RepeatedStream", new RepeatedStream()::run,
+                "BlockedLookup", new BlockedLookup()::run);
         int code = COULD_NOT_RUN;
         try {
             code = cases.get(arguments[0]).run(new String[] {arguments[1], arguments[2]});
