--- a/review/13/run.sh
+++ b/review/13/run.sh
@@ -1,3 +1,3 @@
 #!/usr/bin/env bash
 here=$(cd "$(dirname "$0")" && pwd)
-exec "$here/../common-3/run-case.sh" StaleWatch "$here"
+exec "$here/../common-3/run-case.sh" RepeatedStream "$here"
--- a/review/common-3/src/Main.java
+++ b/review/common-3/src/Main.java
@@ -13,7 +13,6 @@
 
     public static void main(String[] arguments) {
         Map<String, Case> cases = Map.of(
-                "SilentStore", new SilentStore()::run,
                 "DeafHost", new DeafHost()::run,
                 "StaleWatch", new StaleWatch()::run,
                 "RepeatedStream", new RepeatedStream()::run,
@@ -21,7 +20,7 @@
         int code = COULD_NOT_RUN;
         try {
             code = cases.get(arguments[0]).run(new String[] {arguments[1], arguments[2]});
-        } catch (Exception failure) {
+        } catch (Exception | Error failure) {
             failure.printStackTrace();
         }
         System.exit(code);
--- a/review/common-3/src/StoreStandIn.java
+++ b/review/common-3/src/StoreStandIn.java
@@ -37,8 +37,6 @@
     private long droppedRevision;
     private long lastLease;
     private long largestWatchBytes;
-    private volatile long answerDelayMillis;
-    private volatile boolean silent;
 
     StoreStandIn(String ip) throws IOException {
         listener = new ServerSocket();
@@ -50,16 +48,6 @@
         return listener.getInetAddress().getHostAddress() + ":" + listener.getLocalPort();
     }
 
-    /** Sets the time that each answer takes. */
-    void setAnswerDelay(long millis) {
-        answerDelayMillis = millis;
-    }
-
-    /** Begins or ends a time in which calls that arrive are never answered. Calls that wait for a change go on. */
-    void setSilent(boolean newSilent) {
-        silent = newSilent;
-    }
-
     synchronized long put(String key, String value) {
         return put(key, value.getBytes(StandardCharsets.UTF_8));
     }
@@ -98,12 +86,7 @@
             Http.Head head = Http.readHead(in);
             while (head != null) {
                 byte[] body = Http.readBody(head, in);
-                if (silent) {
-                    // A connection on which an answer is lost returns nothing further.
-                    Thread.sleep(Long.MAX_VALUE);
-                }
                 Answer answer = answer(head, body);
-                Thread.sleep(answerDelayMillis);
                 byte[] content = JSON.writeValueAsBytes(answer.body());
                 recordSize(head, content.length);
                 out.write(Http.ascii("HTTP/1.1 " + answer.status() + " -\r\nContent-Type: application/json\r\n"
