--- a/review/common-3/src/DeafHost.java
+++ b/review/common-3/src/DeafHost.java
@@ -1,6 +1,7 @@
 import java.io.EOFException;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.net.SocketTimeoutException;
 import java.util.Map;
 import java.util.Random;
 import java.util.concurrent.ConcurrentHashMap;
@@ -22,8 +23,12 @@
     private static final long STABLE_WINDOW_MILLIS = 3_000;
     // The longer one of config_apply_ms (2,000) and revoke_ms (5,000).
     private static final long BOUND_MILLIS = 5_000;
+    // Deadline of a lookup and timeout_ms of its route.
+    private static final int LOOKUP_MILLIS = 2_000;
     private static final int CHECKS = 10;
 
+    private static final String UNANSWERED = "no answer within a second of the route's timeout";
+
     private final Map<String, Long> runs = new ConcurrentHashMap<>();
     private final AtomicInteger answered = new AtomicInteger();
     private final AtomicInteger refused = new AtomicInteger();
@@ -83,6 +88,7 @@
             fleet.record.say("configuration " + version + " takes key-1 away; acknowledged");
             Thread.sleep(BOUND_MILLIS + 500);
             int stale = 0;
+            int unanswered = 0;
             for (int check = 0; check < CHECKS; check++) {
                 for (int host = 0; host < (trouble ? 1 : 2); host++) {
                     String id = "after-" + check + "-host-" + (host + 1);
@@ -90,6 +96,7 @@
                     String status = lookUp(fleet.hosts.get(host).callers(), id);
                     boolean run = runs.containsKey(id);
                     stale += run ? 1 : 0;
+                    unanswered += status.equals(UNANSWERED) ? 1 : 0;
                     fleet.record.add(id + " with key-1, sent " + (sent - acknowledged)
                             + " ms after the acknowledgement: " + status + ", run " + run);
                 }
@@ -97,19 +104,23 @@
             }
             EntryHost host = fleet.hosts.get(0);
             fleet.record.say("host 1 alive " + host.isAlive() + ", ready " + host.readyStatus(1_000) + ", peak memory "
-                    + host.peakMemoryMegabytes() + " MB; " + stale + " requests ran with a key that had been taken away");
+                    + host.peakMemoryMegabytes() + " MB; " + stale + " requests ran with a key that had been taken away, " + unanswered
+                    + " had no answer");
             for (String line : host.logLines()) {
                 if (line.contains("\"configuration\"") || line.contains("\"dependency_lost\"")) {
                     fleet.record.add("log of host 1: " + line);
                 }
             }
-            fleet.record.say(stale > 0 ? "BROKEN" : "held");
-            return stale > 0 ? 1 : 0;
+            boolean broken = stale > 0 || unanswered > CHECKS / 2;
+            fleet.record.say(broken ? "BROKEN" : "held");
+            return broken ? 1 : 0;
         }
     }
 
     private static String configuration(long version, String key) {
-        return Fleet.configuration(version, Fleet.addedRoutes(ADDED_ROUTES)).replace("key-1", key);
+        return Fleet.configuration(version, Fleet.addedRoutes(ADDED_ROUTES))
+                .replace("\"idempotent\",\n\"timeout_ms\":20000", "\"idempotent\",\n\"timeout_ms\":" + LOOKUP_MILLIS)
+                .replace("key-1", key);
     }
 
     private InetSocketAddress hostOf(int uploader) {
@@ -156,10 +167,12 @@
 
     private static String lookUp(InetSocketAddress host, String id) {
         try (Caller caller = new Caller(host)) {
-            caller.setTimeout(3_000);
-            caller.send(Caller.head("GET", "/lookups/2f", id, 2_000, 0));
+            caller.setTimeout(LOOKUP_MILLIS + 1_000);
+            caller.send(Caller.head("GET", "/lookups/2f", id, LOOKUP_MILLIS, 0));
             Http.Head head = Http.readHead(caller.in());
             return head == null ? "closed" : String.valueOf(head.status());
+        } catch (SocketTimeoutException failure) {
+            return UNANSWERED;
         } catch (IOException failure) {
             return String.valueOf(failure.getMessage());
         }
