--- a/review/common-3/src/EntryHost.java
+++ b/review/common-3/src/EntryHost.java
@@ -26,15 +26,16 @@
         this.directory = directory;
         this.name = name;
         this.ip = ip;
-        this.callerPort = freePort(ip);
-        this.readyPort = freePort(ip);
-        this.controlPort = freePort(ip);
-    }
-
-    private static int freePort(String ip) throws IOException {
-        try (ServerSocket socket = new ServerSocket()) {
-            socket.bind(new InetSocketAddress(ip, 0));
-            return socket.getLocalPort();
+        // Held until all are found, so that none is found twice.
+        try (ServerSocket caller = new ServerSocket();
+                ServerSocket ready = new ServerSocket();
+                ServerSocket control = new ServerSocket()) {
+            caller.bind(new InetSocketAddress(ip, 0));
+            ready.bind(new InetSocketAddress(ip, 0));
+            control.bind(new InetSocketAddress(ip, 0));
+            callerPort = caller.getLocalPort();
+            readyPort = ready.getLocalPort();
+            controlPort = control.getLocalPort();
         }
     }
 
