A request that may run once is not sent again after a low confidence

A booking made by such a stream is made twice.

Cause: each place that sends a request again asked for the repeat policy itself; the one that drops an answer of low confidence did not. The host's own lines show it: 40 confidence lines with the outcome larger, 31 retries granted, 9 denied by the retry budget.

Change: RunHistory owns the question whether a request may run again. So that the single run is the right one, a request that runs once gets the largest model; model_reason in the dispatch line says why a model was selected.

--- a/router/src/main/java/io/heatherloft/router/request/Attempt.java
+++ b/router/src/main/java/io/heatherloft/router/request/Attempt.java
@@ -133,6 +133,7 @@
                         .with("send", sendNumber)
                         .with("time_left_ms", dispatch.timeLeftMillis())
                         .with("model", dispatch.model().orElse(""))
+                        .with("model_reason", execution.modelReason().name())
                         .with("outcome", "sent"));
         response = execution.crashGuard().onSend(server);
         exchange = send(outgoingRequest);
@@ -149,7 +150,7 @@
     }
 
     private void checkInactivity() {
-        if (ended) {
+        if (ended || !execution.mayRun()) {
             return;
         }
         boolean serverInactive = server.lastReceivedMillis() <= lastReceivedMillis;
--- a/router/src/main/java/io/heatherloft/router/request/InactivityTimeouts.java
+++ b/router/src/main/java/io/heatherloft/router/request/InactivityTimeouts.java
@@ -4,7 +4,7 @@
 import java.util.OptionalLong;
 
 /**
- * Computes how long an attempt may be inactive before the request is retried on another server.
+ * Computes how long an attempt may be inactive before a request that may run again is retried on another server.
  *
  * <p>Stateless and safe for use by several threads.
  */
@@ -18,14 +18,14 @@
     private InactivityTimeouts() {}
 
     /**
-     * Returns the time-out in milliseconds; empty if the request must not be retried for inactivity.
+     * Returns the time-out in milliseconds; empty if the route has no objective.
      *
      * @param streaming true if at least one event has arrived
      * @param serverInactive true if nothing has arrived from the server, on any connection, since the attempt last
      *     received data
      */
     static OptionalLong timeoutMillis(Route route, boolean streaming, boolean serverInactive) {
-        if (!route.repeatPolicy().mayRepeat() || route.objectiveMillis() <= 0) {
+        if (route.objectiveMillis() <= 0) {
             return OptionalLong.empty();
         }
         long baseMillis = streaming && route.eventGapObjectiveMillis() > 0
--- a/router/src/main/java/io/heatherloft/router/request/ModelCascade.java
+++ b/router/src/main/java/io/heatherloft/router/request/ModelCascade.java
@@ -1,11 +1,13 @@
 package io.heatherloft.router.request;
 
+import io.heatherloft.domain.route.RepeatPolicy;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalInt;
 
 /**
- * Selects the model for a request: the smallest first, then the largest if the response has low confidence.
+ * Selects the model for a request: the smallest first, then the largest if the response has low confidence. A request that
+ * runs only once gets the largest model, since no second run can mend a poor response.
  *
  * <p>Confined to the loop's thread.
  */
@@ -15,14 +17,44 @@
 
     private final List<String> models;
     private int currentIndex;
+    private Reason reason;
+
+    /** Why a model was selected; part of the log. */
+    enum Reason {
+        /** The caller specifies the model. */
+        CALLER,
+        /** A larger model follows if the response has low confidence. */
+        SMALLEST_FIRST,
+        /** The request runs only once. */
+        RUNS_ONCE,
+        /** The response of a smaller model had low confidence. */
+        LOW_CONFIDENCE
+    }
 
     /**
      * Creates a cascade.
      *
      * @param models models in ascending order of size; empty if the caller specifies the model
      */
-    ModelCascade(List<String> models) {
+    ModelCascade(List<String> models, RepeatPolicy repeatPolicy) {
         this.models = models;
+        if (models.isEmpty()) {
+            reason = Reason.CALLER;
+        } else if (repeatPolicy.mayRepeat()) {
+            reason = Reason.SMALLEST_FIRST;
+        } else {
+            selectLargest(Reason.RUNS_ONCE);
+        }
+    }
+
+    private void selectLargest(Reason newReason) {
+        currentIndex = models.size() - 1;
+        reason = newReason;
+    }
+
+    /** Returns why the current model was selected. */
+    Reason reason() {
+        return reason;
     }
 
     /** Returns the current model; empty if the caller specifies the model. */
@@ -42,6 +74,6 @@
 
     /** Switches to the largest model. */
     void escalate() {
-        currentIndex = models.size() - 1;
+        selectLargest(Reason.LOW_CONFIDENCE);
     }
 }
--- a/router/src/main/java/io/heatherloft/router/request/RequestExecution.java
+++ b/router/src/main/java/io/heatherloft/router/request/RequestExecution.java
@@ -19,9 +19,9 @@
  * Executes one admitted request of a caller, including retries, until the final response.
  *
  * <p>Invariants: at most one attempt is in progress; it is given up for a repetition only in the task that sends the
- * repetition, so a request keeps its attempt while there is no capacity elsewhere; a non-idempotent request is retried only
- * if no attempt can have executed it; a status that implies "not executed" is returned only if no attempt can have
- * executed the request.
+ * repetition, so a request keeps its attempt while there is no capacity elsewhere; the request is sent only if its
+ * {@link RunHistory} lets it run; a status that implies "not executed" is returned only if no attempt can have executed
+ * the request.
  * Confined to the loop's thread.
  */
 final class RequestExecution implements CallerExchange.Listener {
@@ -49,6 +49,7 @@
     private final TriedServers triedServers = new TriedServers();
     private final EventRelay relay;
     private final ModelCascade cascade;
+    private final RunHistory runs;
     private final CrashGuard crashGuard;
     private Loop.Cancellation deadlineTimer = () -> {};
     private Attempt attempt;
@@ -57,7 +58,6 @@
     private int sendCount;
     private int connectFailures;
     private long firstAskedMillis = -1;
-    private boolean mayHaveExecuted;
     private boolean streamStarted;
     private boolean ended;
 
@@ -81,7 +81,8 @@
                         metadata.deadlineMillis().orElse(DEFAULT_DEADLINE_MILLIS),
                         route.timeoutMillis().orElse(Long.MAX_VALUE / 2));
         this.crashGuard = new CrashGuard(engine.registry(), engine.connectionPool(), request, metadata, keyHolder);
-        this.cascade = new ModelCascade(route.modelsBySize());
+        this.cascade = new ModelCascade(route.modelsBySize(), route.repeatPolicy());
+        this.runs = new RunHistory(route.repeatPolicy());
         this.relay = new EventRelay(metadata.lastEventId(), this::sendEvent);
     }
 
@@ -119,6 +120,16 @@
         return triedServers;
     }
 
+    /** Returns true if the request may be sent to a server, even though one may have executed it already. */
+    boolean mayRun() {
+        return runs.mayRun();
+    }
+
+    /** Returns why the request runs on its present model. */
+    ModelCascade.Reason modelReason() {
+        return cascade.reason();
+    }
+
     /** Returns the number of times that the request was sent to a server. */
     int sendCount() {
         return sendCount;
@@ -129,7 +140,7 @@
      * since: a request that servers only reject does not wait longer than others.
      */
     long firstAskedMillis(long nowMillis) {
-        boolean keeps = !mayHaveExecuted && replaceable.isEmpty() && firstAskedMillis >= 0;
+        boolean keeps = !runs.mayHaveExecuted() && firstAskedMillis >= 0;
         firstAskedMillis = keeps ? firstAskedMillis : nowMillis;
         return firstAskedMillis;
     }
@@ -219,6 +230,7 @@
         recordSession(server);
         long pendingPromptTokens = pendingPromptTokens(server);
         metadata.sharedPrefixId().ifPresent(part -> server.recordPrefix(part, metadata.sharedPrefixTokens()));
+        runs.recordSend();
         sendCount++;
         if (sendCount == 1) {
             engine.retryBudget(service).recordRequest();
@@ -258,7 +270,6 @@
         if (blocked.isPresent() || !hasServerOtherThan(replaced.server()) || !mayRetry(SILENCE)) {
             return false;
         }
-        mayHaveExecuted = true;
         relay.discardPartialEvent();
         replaced.cancel();
         return true;
@@ -353,7 +364,6 @@
             return true;
         }
         running.cancel();
-        mayHaveExecuted = true;
         cascade.escalate();
         send(larger.get());
         return false;
@@ -363,6 +373,7 @@
     void onNotExecuted(Attempt ending, String reason) {
         if (isCurrent(ending)) {
             withdrawRepetition();
+            runs.recordNotExecuted();
             triedServers.add(ending.server().entry());
             if (streamStarted) {
                 // The caller's response is lost if no server accepts the rest of it, so rejections do not use up the
@@ -406,6 +417,7 @@
         triedServers.add(ending.server().entry());
         if (failure.kind() == ExchangeFailure.Kind.NOT_SENT) {
             crashGuard.onNotSent(ending.server(), failure);
+            runs.recordNotExecuted();
             sendCount--;
             connectFailures++;
             if (connectFailures <= MAX_CONNECT_FAILURES) {
@@ -417,10 +429,9 @@
             }
             return;
         }
-        mayHaveExecuted = true;
         crashGuard.onResponseInterrupted(ending.server());
         relay.discardPartialEvent();
-        if (route.repeatPolicy().mayRepeat() && !relay.hasGap() && mayRetry(failure.reason())) {
+        if (!relay.hasGap() && mayRetry(failure.reason())) {
             dispatch();
         } else {
             fail(RefusalReason.ANSWER_LOST);
@@ -467,7 +478,6 @@
             return;
         }
         withdrawRepetition();
-        mayHaveExecuted = true;
         crashGuard.onResponseCompleted(status);
         boolean failed = status >= 500;
         if (failed) {
@@ -475,7 +485,7 @@
         }
         // Passing on some statuses would tell the caller that the request has not been executed.
         boolean usable = !streamStarted && !impliesNotExecuted(status);
-        boolean repeatable = failed && route.repeatPolicy().mayRepeat();
+        boolean repeatable = failed && runs.mayRun();
         Optional<AttemptBackendSelector.Selection> next = repeatable && usable ? selectNow() : Optional.empty();
         if (next.isPresent() && mayRetry("status " + status)) {
             body.release();
@@ -549,7 +559,10 @@
     }
 
     private boolean isRetryAllowed() {
-        return sendCount < route.maxAttempts() && timeLeftMillis() >= MIN_TIME_LEFT_MILLIS && mayStillBeSent();
+        return runs.mayRun()
+                && sendCount < route.maxAttempts()
+                && timeLeftMillis() >= MIN_TIME_LEFT_MILLIS
+                && mayStillBeSent();
     }
 
     private void logRetry(String reason, boolean granted) {
@@ -566,7 +579,7 @@
     }
 
     private void onDeadline() {
-        fail(mayHaveExecuted || attempt != null ? RefusalReason.TIMED_OUT : RefusalReason.EXPIRED_UNSENT);
+        fail(attempt != null ? RefusalReason.TIMED_OUT : RefusalReason.EXPIRED_UNSENT);
     }
 
     private void fail(RefusalReason reason) {
@@ -578,7 +591,7 @@
             return;
         }
         RefusalReason effectiveReason =
-                mayHaveExecuted && impliesNotExecuted(reason.status()) ? RefusalReason.ANSWER_LOST : reason;
+                runs.mayHaveExecuted() && impliesNotExecuted(reason.status()) ? RefusalReason.ANSWER_LOST : reason;
         finish(effectiveReason.name(), effectiveReason.status());
         if (attempt != null) {
             attempt.cancel();
--- a/standins/src/main/java/io/heatherloft/standins/platform/RunnerStandIn.java
+++ b/standins/src/main/java/io/heatherloft/standins/platform/RunnerStandIn.java
@@ -16,6 +16,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalDouble;
+import java.util.OptionalInt;
 import java.util.Set;
 import java.util.function.Predicate;
 
@@ -41,7 +42,7 @@
     private final Deque<Act> queuedActs = new ArrayDeque<>();
     private final List<CallerRequest> receivedRequests = new ArrayList<>();
     private final List<ExecutedRequest> executedRequests = new ArrayList<>();
-    private int confidence = 90;
+    private OptionalInt confidence = OptionalInt.of(90);
     private OptionalDouble requestLimit = OptionalDouble.empty();
     private boolean leaving;
     private Optional<String> rest = Optional.empty();
@@ -104,9 +105,14 @@
         queuedActs.addAll(List.of(newActs));
     }
 
-    /** Sets the confidence reported in the headers of streaming responses. */
+    /** Sets the confidence reported in the headers of responses by models. */
     public void setConfidence(int newConfidence) {
-        this.confidence = newConfidence;
+        this.confidence = OptionalInt.of(newConfidence);
+    }
+
+    /** Makes the server report no confidence. */
+    public void withholdConfidence() {
+        this.confidence = OptionalInt.empty();
     }
 
     /** Sets the limit that the server names in its responses, in requests per second; empty to name none. */
@@ -301,8 +307,10 @@
             }
             default -> {
                 headers.set(PlatformFixtures.SEAL_HEADER, id + ".seal");
+                if (request.headers().contains("X-Model-Name")) {
+                    confidence.ifPresent(stated -> headers.set("X-Hint-Confidence", stated));
+                }
                 if (request.headers().contains("X-Token-Count")) {
-                    headers.set("X-Hint-Confidence", confidence);
                     stream(request, exchange, headers, act);
                 } else if (crashing.test(request)) {
                     loop.schedule(CRASH_DELAY_MILLIS, this::crash);
