Limits of up to 2,048 servers are kept

Change: 2,048 limits are kept, as many as ServerSpeeds keeps servers.

Evidence: ServerLimitSharesTest.keeps_the_limits_of_600_servers failed before the change and passes.

--- a/domain/src/main/java/io/heatherloft/domain/route/ServerLimitShares.java
+++ b/domain/src/main/java/io/heatherloft/domain/route/ServerLimitShares.java
@@ -29,7 +29,8 @@
     private static final int MIN_HOLDERS = 2;
     private static final int HOLDERS_PER_REQUEST_PER_SECOND = 2;
     private static final int MAX_HOLDERS = 64;
-    private static final int MAX_SERVERS = 256;
+    // More than the servers of a fleet and those that have left lately.
+    private static final int MAX_SERVERS = 2_048;
     private static final double MAX_TOKENS = 1;
     // Rate at which a server that accepts no requests is asked whether it still does not.
     private static final double MIN_REQUESTS_PER_SECOND = 0.1;
--- a/domain/src/test/java/io/heatherloft/domain/route/ServerLimitSharesTest.java
+++ b/domain/src/test/java/io/heatherloft/domain/route/ServerLimitSharesTest.java
@@ -55,6 +55,18 @@
             assertThat(shares.mayUse(SERVER, 1, 1_300)).isTrue();
         }
 
+        // A limit was forgotten while its server stood by it, once more than 256 servers had named theirs.
+        @Test
+        void keeps_the_limits_of_600_servers() {
+            LongStream.range(0, 600)
+                    .forEach(server -> assertThat(shares.recordResponse(server, OptionalDouble.of(1), 0, 50))
+                            .isTrue());
+            assertThat(LongStream.range(0, 600)
+                            .filter(server -> shares.mayUse(server, 1, 100))
+                            .toArray())
+                    .isEmpty();
+        }
+
         @Test
         void still_asks_a_server_that_accepts_nothing_now_and_then() {
             nameLimit(0, 0);
