--- a/router/src/main/java/io/heatherloft/router/fleet/CrashingPrompts.java
+++ b/router/src/main/java/io/heatherloft/router/fleet/CrashingPrompts.java
@@ -32,6 +32,7 @@
     private static final int MAX_RECORDED_CRASHES = 64;
     private static final int MAX_LOGGED_PARTS = 16;
     private static final double PERMILLE = 1_000;
+    private static final double TENTHS = 10;
     private static final int MAX_ADDRESSES = 4_096;
 
     private final Loop loop;
@@ -208,7 +209,7 @@
                 .forEach(accusation -> log.stateChange(
                         "prompt_parts", line -> line.with("parts", CrashRecord.nameOf(accusation.parts()))
                                 .with("servers_crashed", accusation.servers())
-                                .with("evidence", accusation.evidence())
+                                .with("evidence", Math.round(accusation.evidence() * TENTHS) / TENTHS)
                                 .with("outcome", "blocked")));
         Set<Set<Long>> released = new HashSet<>(before);
         released.removeAll(blockedParts);
