--- a/ports/src/main/java/io/heatherloft/ports/store/KeyValueStore.java
+++ b/ports/src/main/java/io/heatherloft/ports/store/KeyValueStore.java
@@ -70,7 +70,7 @@
         /** Called when the watch ends. It must be opened again from the last revision seen. */
         void onEnd(String reason);
 
-        /** Called when the watch ends because the store has discarded changes since the last revision seen. */
+        /** Called when the watch ends because the changes since the last revision seen are lost or cannot be read. */
         default void onHistoryLost() {
             onEnd("the store has discarded the requested revisions");
         }
