The weighing of a part's crashes has a class of its own

CrashEvidence decides from the crashes of a part alone whether it is blocked; CrashingPromptDetector records and asks it. No change of behaviour.

--- a/domain/src/main/java/io/heatherloft/domain/route/CrashRecord.java
+++ b/domain/src/main/java/io/heatherloft/domain/route/CrashRecord.java
@@ -53,7 +53,7 @@
                         number(line, 1),
                         number(line, 2),
                         number(line, 3),
-                        nowMillis - servers.indexOf(number(line, 2)) * CrashingPromptDetector.DISTINCT_MILLIS))
+                        nowMillis - servers.indexOf(number(line, 2)) * CrashEvidence.DISTINCT_MILLIS))
                 .toList();
     }
 
--- a/domain/src/main/java/io/heatherloft/domain/route/CrashingPromptDetector.java
+++ b/domain/src/main/java/io/heatherloft/domain/route/CrashingPromptDetector.java
@@ -43,19 +43,6 @@
 
     // A crash is remembered for longer than the quarantine, so that one more crash blocks the part again.
     private static final long RETENTION_MILLIS = 900_000L;
-    private static final int BLOCKING_SERVERS = 3;
-    private static final int BLOCKING_REQUESTS = 3;
-    // With this number of servers, fewer different requests are enough.
-    private static final int CERTAIN_SERVERS = 5;
-    private static final int MIN_BLOCKING_REQUESTS = 2;
-    // Number of servers if some of them had not begun to respond when they crashed.
-    private static final int BLOCKING_SERVERS_AWAITED = 4;
-    // Servers that crash within this time of each other are likely to have one cause, such as a loss of power.
-    private static final long SIMULTANEOUS_MILLIS = 100L;
-    /** Crashes that are at least so far apart count as several. */
-    static final long DISTINCT_MILLIS = SIMULTANEOUS_MILLIS + 1;
-
-    private static final int BLOCKING_MOMENTS = 2;
     // A server that crashes on a prompt does so within this time after its response began.
     private static final long MAX_CRASH_DELAY_MILLIS = 1_000L;
     // A server that is up for this time after a response began has not crashed on its prompt.
@@ -66,15 +53,10 @@
     private static final long DETECTION_WINDOW_MILLIS = 6_000L;
     private static final long PRUNING_INTERVAL_MILLIS = 1_000L;
     private static final int MAX_RESPONSES = 1_024;
-    private static final int MAX_PARTS = 256;
     private static final int MAX_SOUND_PARTS = 4_096;
     private static final int MAX_SERVERS = 256;
     private static final int MAX_CRASHES_PER_PART = 16;
     private static final double PERMILLE = 1_000;
-    // Expected number of sound parts that are blocked, if as many parts as are recorded meet crashes by chance.
-    private static final double MAX_FALSE_ACCUSATIONS = 0.01;
-    // Evidence is the negative logarithm of a chance.
-    private static final double BLOCKING_EVIDENCE = Math.log(MAX_PARTS / MAX_FALSE_ACCUSATIONS);
     private static final long NOT_YET = Long.MAX_VALUE;
     private static final long AWAITED_MARK = 0x5bd1e995L;
 
@@ -144,7 +126,8 @@
                     Math.max(chancePermille, known.chancePermille));
         }
 
-        private double evidence() {
+        /** Returns the evidence against the part: the negative logarithm of the chance. */
+        double evidence() {
             return -Math.log(Math.max(chancePermille / PERMILLE, BackgroundCrashes.MIN_CHANCE));
         }
 
@@ -365,7 +348,7 @@
 
     // The crashes of which a part is accused, or another part is found guilty, are no sign of further causes.
     private int chancePermille(long part, CrashedServer crashed) {
-        Set<Long> explained = serversOf(crashesByPart.getOrDefault(part, List.of()));
+        Set<Long> explained = CrashEvidence.serversOf(crashesByPart.getOrDefault(part, List.of()));
         explained.addAll(explainedServers);
         double chance = backgroundCrashes.chance(
                 servers.addressOf(crashed.server()), crashed.atMillis(), explained::contains, servers.addressCount());
@@ -410,7 +393,7 @@
         if (known.size() > MAX_CRASHES_PER_PART) {
             removeLeastDistinct(known);
         }
-        if (crashesByPart.size() > MAX_PARTS) {
+        if (crashesByPart.size() > CrashEvidence.MAX_PARTS) {
             removeLeastAccused();
         }
         accusationsOutdated = true;
@@ -420,7 +403,7 @@
     // A part that is blocked meets no more crashes, so the one with the oldest crash is not the least important.
     private void removeLeastAccused() {
         crashesByPart.entrySet().stream()
-                .min(Comparator.comparingDouble((Map.Entry<Long, List<Crash>> entry) -> evidence(
+                .min(Comparator.comparingDouble((Map.Entry<Long, List<Crash>> entry) -> CrashEvidence.sum(
                                 entry.getValue().stream().filter(this::counts).toList()))
                         .thenComparingLong(entry -> lastCrashMillis(entry.getValue()))
                         .thenComparingLong(Map.Entry::getKey))
@@ -508,11 +491,12 @@
         Optional<Long> worst = findWorst(suspects, explained);
         while (worst.isPresent()) {
             List<Crash> crashes = suspects.get(worst.get());
-            Set<Long> crashedOnPart = serversOf(crashes);
+            Set<Long> crashedOnPart = CrashEvidence.serversOf(crashes);
             Set<Long> parts = suspects.keySet().stream()
-                    .filter(part -> 2 * sharedServers(crashes, suspects.get(part)) > crashedOnPart.size())
+                    .filter(part -> 2 * CrashEvidence.sharedServers(crashes, suspects.get(part)) > crashedOnPart.size())
                     .collect(Collectors.toSet());
-            found.add(new Accusation(parts, crashedOnPart.size(), evidence(crashes), lastCrashMillis(crashes)));
+            found.add(
+                    new Accusation(parts, crashedOnPart.size(), CrashEvidence.sum(crashes), lastCrashMillis(crashes)));
             explained.addAll(crashedOnPart);
             worst = findWorst(suspects, explained);
         }
@@ -522,71 +506,8 @@
 
     private static Optional<Long> findWorst(Map<Long, List<Crash>> suspects, Set<Long> explained) {
         return suspects.keySet().stream()
-                .filter(part -> isConvicted(suspects.get(part), explained))
-                .max(Comparator.comparingLong(part -> unexplained(suspects.get(part), explained)));
-    }
-
-    private static boolean isConvicted(List<Crash> ofPart, Set<Long> explained) {
-        List<Crash> crashes = ofPart.stream()
-                .filter(crash -> !explained.contains(crash.server()))
-                .toList();
-        List<Crash> begun = crashes.stream().filter(Crash::begun).toList();
-        return isConvicted(begun, BLOCKING_SERVERS, BLOCKING_MOMENTS)
-                || isConvicted(crashes, BLOCKING_SERVERS_AWAITED, BLOCKING_SERVERS_AWAITED);
-    }
-
-    private static boolean isConvicted(List<Crash> crashes, int minServers, int minMoments) {
-        return isUnderSeveralRequests(crashes)
-                && serversOf(crashes).size() >= minServers
-                && moments(crashes) >= minMoments
-                && evidence(crashes) >= BLOCKING_EVIDENCE;
-    }
-
-    // The crash of one server counts once, however many requests with the part ran on it.
-    private static double evidence(List<Crash> crashes) {
-        return crashes.stream().collect(Collectors.toMap(Crash::server, Crash::evidence, Math::min)).values().stream()
-                .mapToDouble(Double::doubleValue)
-                .sum();
-    }
-
-    // A request that is retried can meet several crashes by chance; many crashes make that unlikely.
-    private static boolean isUnderSeveralRequests(List<Crash> crashes) {
-        long requests = crashes.stream().map(Crash::request).distinct().count();
-        return requests >= BLOCKING_REQUESTS
-                || (requests >= MIN_BLOCKING_REQUESTS && serversOf(crashes).size() >= CERTAIN_SERVERS);
-    }
-
-    private static int moments(List<Crash> crashes) {
-        int moments = 0;
-        long momentMillis = Long.MIN_VALUE / 2;
-        for (long atMillis :
-                crashes.stream().mapToLong(Crash::atMillis).sorted().toArray()) {
-            if (atMillis - momentMillis > SIMULTANEOUS_MILLIS) {
-                moments++;
-                momentMillis = atMillis;
-            }
-        }
-        return moments;
-    }
-
-    private static long unexplained(List<Crash> crashes, Set<Long> explained) {
-        return serversOf(crashes).stream()
-                .filter(server -> !explained.contains(server))
-                .count();
-    }
-
-    // Returns the number of servers that crashed under a request which contains both parts.
-    private static long sharedServers(List<Crash> ofPart, List<Crash> ofOther) {
-        return ofPart.stream()
-                .filter(crash -> ofOther.stream()
-                        .anyMatch(other -> other.server() == crash.server() && other.request() == crash.request()))
-                .map(Crash::server)
-                .distinct()
-                .count();
-    }
-
-    private static Set<Long> serversOf(List<Crash> crashes) {
-        return crashes.stream().map(Crash::server).collect(Collectors.toCollection(HashSet::new));
+                .filter(part -> CrashEvidence.isConvicted(suspects.get(part), explained))
+                .max(Comparator.comparingLong(part -> CrashEvidence.unexplainedServers(suspects.get(part), explained)));
     }
 
     private void prune(long nowMillis) {
--- a/router/src/test/java/io/heatherloft/router/peers/CrashNewsCodecTest.java
+++ b/router/src/test/java/io/heatherloft/router/peers/CrashNewsCodecTest.java
@@ -20,12 +20,12 @@
         @Test
         void is_the_same_on_another_host_by_its_own_clock() {
             News sent = new News(
-                    List.of(new Crash(1, "a@1", 900), new Crash(2, "a@1", 900), new Crash(1, "b@1", 800)),
+                    List.of(new Crash(1, "a@1", 900), new Crash(2, "a@1", 900), new Crash(1, "b@1", 700, 800)),
                     List.of(new Answer(3, 950)));
             News received = CrashNewsCodec.decode(CrashNewsCodec.encode(sent, 1_000), 5_000);
             assertThat(received.crashes())
                     .containsExactly(
-                            new Crash(1, "a@1", 4_900), new Crash(2, "a@1", 4_900), new Crash(1, "b@1", 4_800));
+                            new Crash(1, "a@1", 4_900), new Crash(2, "a@1", 4_900), new Crash(1, "b@1", 4_700, 4_800));
             assertThat(received.answers()).containsExactly(new Answer(3, 4_950));
         }
     }
